--- a/internal/command/oper/root.go
+++ b/internal/command/oper/root.go
@@ -45,6 +45,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "run an entry instance", runServe},
+		{"site", "run an instance on the users' platform", runSite},
 		{"patch", "submit a patch against a numbered version of the configuration", runPatch},
 		{"config", "show a version, the history, or what changed between two versions", runConfig},
 		{"submit", "submit a batch or gang job", runSubmit},
--- /dev/null
+++ b/internal/coordination/core/follow.go
@@ -0,0 +1,134 @@
+package core
+
+import (
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// take takes what the reader of the ledger brought.
+func (c *Core) take(now time.Time, b ledger.Batch) {
+	if b.Err != nil {
+		c.readFailed(now, b.Err)
+		return
+	}
+	c.readOK(now)
+	if b.Reset {
+		c.settled = b.Settled
+		c.set.Logger.Info().Int("records", len(b.Records)).Int64("next", b.Next).Msg("ledger: read from the newest records")
+	}
+	for _, r := range b.Records {
+		c.apply(now, r)
+	}
+	c.next = b.Next
+	if b.CaughtUp && b.Next >= c.settled {
+		c.ready.Store(true)
+		c.lead.caughtUp = now
+	}
+	if len(b.Records) > 0 {
+		c.changed = true
+	}
+}
+
+// apply takes one record. Records of other writers that can't be read are
+// passed over.
+func (c *Core) apply(now time.Time, r ledger.Record) {
+	var err error
+	switch prefix, name := splitKey(r.Key); prefix {
+	case keySpec:
+		err = c.applySpec(now, name, r.Value)
+	case keyProgress:
+		c.heard(now)
+		err = c.applyProgress(name, r.Value)
+	case keyCancel:
+		c.applyCancel(now, name, r.Value)
+	case keyInstance:
+		err = c.applyInstance(name, r.Value)
+	case keyLeader:
+		err = c.applyClaim(now, r.Value)
+	case keyBeat:
+		c.heard(now)
+	}
+	if err != nil {
+		c.set.Logger.Error().Err(err).Str("key", r.Key).Msg("ledger: a record can't be read; it is passed over")
+	}
+}
+
+func (c *Core) applySpec(now time.Time, id string, value []byte) error {
+	if len(value) == 0 {
+		delete(c.jobs, id)
+		c.index.Drop(id)
+		return nil
+	}
+	if c.jobs[id] != nil {
+		return nil
+	}
+	spec, err := flow.DecodeSpec(value)
+	if err != nil {
+		return err
+	}
+	j := &flow.Job{Spec: spec}
+	c.jobs[id] = j
+	c.index.Add(id, flow.Status{Queue: spec.Queue})
+	if c.engine != nil {
+		c.engine.AddJob(now, j)
+	}
+	return nil
+}
+
+func (c *Core) applyProgress(id string, value []byte) error {
+	j := c.jobs[id]
+	if j == nil || c.engine != nil || len(value) == 0 {
+		// The leader's own records say nothing new to it.
+		return nil
+	}
+	p, err := flow.DecodeProgress(value)
+	if err != nil {
+		return err
+	}
+	if err := p.Match(j.Spec); err != nil {
+		return err
+	}
+	j.Progress = p
+	st := p.State
+	if j.Canceled && !st.Final() {
+		st = flow.Canceled
+	}
+	if p.State.Final() && len(p.Rounds) == 0 {
+		j.Payload = ""
+	}
+	c.index.Put(id, flow.Status{Queue: j.Queue, State: st})
+	return nil
+}
+
+func (c *Core) applyCancel(now time.Time, id string, value []byte) {
+	j := c.jobs[id]
+	if j == nil || j.Canceled || len(value) == 0 {
+		return
+	}
+	j.Canceled = true
+	if st, ok := c.index.Get(id); ok && !st.State.Final() {
+		st.State = flow.Canceled
+		c.index.Put(id, st)
+	}
+	if c.engine != nil {
+		c.engine.Cancel(now, id)
+	}
+}
+
+func (c *Core) applyInstance(name string, value []byte) error {
+	var in instance
+	if err := json.Unmarshal(value, &in); err != nil {
+		return err
+	}
+	c.members[name] = in
+	peers := maps.Clone(c.members)
+	c.peers.Store(&peers)
+	if c.engine != nil {
+		c.setCallers()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/core/lead.go
@@ -0,0 +1,235 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/sched"
+)
+
+// Bounds of leadership.
+const (
+	// beatEvery is the longest time between two appends of a leader.
+	beatEvery = 300 * time.Millisecond
+	// silence is how long the ledger may be read without a sign of the leader
+	// before others bid: four beats.
+	silence = 1200 * time.Millisecond
+	// startSilence is the same when no leader has ever been heard.
+	startSilence = 300 * time.Millisecond
+	// rankStep keeps the bids of instances apart.
+	rankStep  = 120 * time.Millisecond
+	rankSteps = 8
+	// bidTimeout bounds one bid.
+	bidTimeout = time.Second
+	// bidPause is the pause after a bid.
+	bidPause = 1500 * time.Millisecond
+)
+
+// leadership is what an instance knows of who leads.
+type leadership struct {
+	term     int64     // of the newest claim
+	minTerm  int64     // the store has seen this epoch
+	owner    claim     // of the newest claim
+	heardAt  time.Time // of the newest sign of the leader
+	okSince  time.Time // since when the ledger has been read without a failure
+	caughtUp time.Time // when the ledger was last read to its end
+	bidAt    time.Time
+	failing  bool
+	leaving  bool
+
+	confirmed time.Duration // uptime at which the newest stored append was sent
+}
+
+// heard notes a sign of the leader.
+func (c *Core) heard(now time.Time) { c.lead.heardAt = now }
+
+func (c *Core) readFailed(now time.Time, err error) {
+	var expired *ledger.ExpiredError
+	if errors.As(err, &expired) {
+		c.set.Logger.Warn().Err(err).Msg("ledger: records have expired; reading anew")
+		return
+	}
+	if !c.lead.failing {
+		c.lead.failing = true
+		c.set.Logger.Warn().Err(err).Msg("ledger: can't be read")
+	}
+	c.lead.okSince = time.Time{}
+}
+
+func (c *Core) readOK(now time.Time) {
+	if c.lead.failing {
+		c.lead.failing = false
+		c.set.Logger.Info().Msg("ledger: can be read again")
+	}
+	if c.lead.okSince.IsZero() {
+		c.lead.okSince = now
+	}
+}
+
+// applyClaim takes the record of who leads.
+func (c *Core) applyClaim(now time.Time, value []byte) error {
+	var cl claim
+	if err := json.Unmarshal(value, &cl); err != nil {
+		return err
+	}
+	if cl.Term < c.lead.term {
+		return nil
+	}
+	if cl.Term == c.lead.term && !cl.Resigned {
+		return nil
+	}
+	c.lead.term, c.lead.owner = cl.Term, cl
+	c.heard(now)
+	mine := cl.Instance == c.set.Instance && cl.Life == c.set.Life
+	c.set.Logger.Info().Int64("term", cl.Term).Str("instance", cl.Instance).Bool("resigned", cl.Resigned).Bool("mine", mine).Msg("leader: claim read")
+	if c.engine != nil && (!mine || cl.Resigned) {
+		c.stepDown(now, "another instance leads")
+	}
+	return nil
+}
+
+// mine reports whether the newest claim is this process's.
+func (c *Core) mine() bool {
+	o := c.lead.owner
+	return o.Instance == c.set.Instance && o.Life == c.set.Life && !o.Resigned && c.lead.term > 0
+}
+
+// stepLead takes the lead, or bids for it, when that is due.
+func (c *Core) stepLead(now time.Time) {
+	if c.engine != nil || !c.ready.Load() || c.lead.leaving {
+		return
+	}
+	if c.mine() && c.lead.term >= c.lead.minTerm {
+		c.begin(now)
+		return
+	}
+	if c.lead.okSince.IsZero() || now.Before(c.lead.bidAt) {
+		return
+	}
+	wait := silence
+	switch {
+	case c.lead.term == 0:
+		wait = startSilence
+	case c.lead.owner.Resigned:
+		wait = 0
+	}
+	since := c.lead.heardAt
+	if c.lead.okSince.After(since) && !c.lead.owner.Resigned {
+		since = c.lead.okSince
+	}
+	if now.Sub(since) < wait+c.rank()*rankStep || now.Sub(c.lead.caughtUp) > silence {
+		return
+	}
+	c.bid(now)
+}
+
+// rank spreads the instances' bids over time, anew for each term.
+func (c *Core) rank() time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(c.set.Life))
+	h.Write([]byte{byte(c.lead.term)})
+	return time.Duration(h.Sum32() % rankSteps)
+}
+
+// bid appends a claim. Whether it won shows when the claim is read back.
+func (c *Core) bid(now time.Time) {
+	c.lead.bidAt = now.Add(bidPause)
+	term := max(c.lead.term, c.lead.minTerm) + 1
+	rec, err := encodeRecord(keyLeader, claim{Term: term, Instance: c.set.Instance, Life: c.set.Life})
+	if err != nil {
+		c.set.Logger.Error().Err(err).Msg("leader: the claim can't be encoded")
+		return
+	}
+	c.set.Logger.Info().Int64("term", term).Dur("silence", now.Sub(c.lead.heardAt)).Msg("leader: bid")
+	c.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, bidTimeout)
+		defer cancel()
+		_, err := c.set.Log.Append(ctx, ledger.Producer{Name: leaderProducer, Epoch: term}, 1, []ledger.Record{rec})
+		if err == nil {
+			return
+		}
+		c.post(func(now time.Time) {
+			c.set.Logger.Warn().Err(err).Int64("term", term).Msg("leader: bid failed")
+			c.noteFence(err)
+			c.lead.bidAt = now.Add(bidPause / 4)
+		})
+	})
+}
+
+func (c *Core) noteFence(err error) {
+	var fenced *ledger.FencedError
+	if errors.As(err, &fenced) {
+		c.lead.minTerm = max(c.lead.minTerm, fenced.Epoch)
+	}
+}
+
+// begin starts to lead: the claim stands in the ledger, so no earlier leader can
+// write any more, and all that they wrote before it has been read.
+func (c *Core) begin(now time.Time) {
+	c.set.Logger.Info().Int64("term", c.lead.term).Int("jobs", len(c.jobs)).Msg("leader: begins")
+	c.engine = sched.New(c.set.Params, now)
+	c.append = appending{writer: c.leaderWriter(c.lead.term), lastAt: now}
+	c.lead.confirmed = c.set.Uptime()
+	c.listing = listing{}
+	if conf := c.config.Load(); conf != nil {
+		c.engine.SetConfig(conf)
+	}
+	c.setCallers()
+	for _, id := range c.jobIDs() {
+		c.engine.AddJob(now, c.jobs[id])
+	}
+	c.leads.Store(true)
+	c.set.Meter.Count("leader_terms", "instance", c.set.Instance, 1)
+	c.changed = true
+}
+
+func (c *Core) leaderWriter(term int64) *ledger.Writer {
+	w := ledger.NewWriter(c.set.Log, ledger.Producer{Name: leaderProducer, Epoch: term}, 1)
+	w.Unsure = func(err error, tries int) {
+		c.set.Logger.Warn().Err(err).Int("tries", tries).Msg("leader: append without an answer")
+	}
+	return w
+}
+
+// stepDown stops leading. What was decided but not stored is forgotten, and the
+// jobs' progress is read anew.
+func (c *Core) stepDown(now time.Time, why string) {
+	c.set.Logger.Warn().Int64("term", c.lead.term).Str("why", why).Msg("leader: steps down")
+	c.engine = nil
+	c.leads.Store(false)
+	if c.append.cancel != nil {
+		c.append.cancel()
+	}
+	c.append = appending{}
+	for _, j := range c.jobs {
+		j.Progress = flow.Progress{}
+	}
+	c.ready.Store(false)
+	c.tail.Restart()
+	c.lead.bidAt = now.Add(bidPause)
+}
+
+// Leave gives up the lead, as a planned stop does, and returns when the record
+// is stored or ctx ends.
+func (c *Core) Leave(ctx context.Context) {
+	left := make(chan struct{})
+	c.post(func(now time.Time) {
+		c.lead.leaving = true
+		if c.engine == nil {
+			close(left)
+			return
+		}
+		c.append.resign = left
+	})
+	select {
+	case <-left:
+	case <-ctx.Done():
+	case <-c.done:
+	}
+}
--- /dev/null
+++ b/internal/coordination/core/peers.go
@@ -0,0 +1,107 @@
+package core
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// Peers are the calls to other instances. Their errors are those of this package.
+type Peers struct {
+	Submit func(ctx context.Context, addr string, s *flow.Spec) error
+	Cancel func(ctx context.Context, addr, id string) error
+	Status func(ctx context.Context, addr, id string) (flow.Status, error)
+}
+
+// Bounds of handing calls over to peers.
+const (
+	maxHandovers    = 2 // peers that one call is handed to, one after another
+	handoverTimeout = 900 * time.Millisecond
+)
+
+// SubmitAnywhere submits a job here or, if this instance can't store it, through
+// a peer that may reach the store.
+func (c *Core) SubmitAnywhere(ctx context.Context, s *flow.Spec) error {
+	err := ErrNotRun
+	if c.intake.Healthy() {
+		err = c.Submit(ctx, s)
+	}
+	return c.handOver(ctx, "submit", s.ID, err, func(ctx context.Context, addr string) error {
+		err := c.set.Peers.Submit(ctx, addr, s)
+		if err == nil {
+			c.index.Add(s.ID, flow.Status{Queue: s.Queue})
+		}
+		return err
+	})
+}
+
+// CancelAnywhere is SubmitAnywhere for cancelling.
+func (c *Core) CancelAnywhere(ctx context.Context, id string) error {
+	err := c.Cancel(ctx, id)
+	return c.handOver(ctx, "cancel", id, err, func(ctx context.Context, addr string) error {
+		err := c.set.Peers.Cancel(ctx, addr, id)
+		if err == nil {
+			c.cancelled(id)
+		}
+		return err
+	})
+}
+
+// StatusAnywhere is SubmitAnywhere for a job's state.
+func (c *Core) StatusAnywhere(ctx context.Context, id string) (flow.Status, error) {
+	st, err := c.Status(ctx, id)
+	err = c.handOver(ctx, "status", id, err, func(ctx context.Context, addr string) error {
+		var err error
+		st, err = c.set.Peers.Status(ctx, addr, id)
+		return err
+	})
+	return st, err
+}
+
+// handOver calls peers as long as the call has certainly not been carried out.
+func (c *Core) handOver(ctx context.Context, what, id string, err error, call func(ctx context.Context, addr string) error) error {
+	if !errors.Is(err, ErrNotRun) {
+		return err
+	}
+	for _, p := range c.handoverPeers() {
+		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		err = call(ctx, p)
+		cancel()
+		c.set.Logger.Info().Str("job", id).Str("call", what).Str("peer", p).AnErr("refusal", err).Msg("core: handed over")
+		if !errors.Is(err, ErrNotRun) {
+			return err
+		}
+	}
+	return err
+}
+
+// handoverPeers gives addresses of peers, those of other failure domains first:
+// what cut this instance off may have cut off its neighbours.
+func (c *Core) handoverPeers() []string {
+	peers := c.peers.Load()
+	if peers == nil {
+		return nil
+	}
+	var list []instance
+	for name, p := range *peers {
+		if name != c.set.Instance && p.Addr != c.set.Addr {
+			list = append(list, p)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool {
+		a, b := list[i].Domain == c.set.Domain, list[k].Domain == c.set.Domain
+		if a != b {
+			return b
+		}
+		return list[i].Life < list[k].Life
+	})
+	var out []string
+	for _, p := range list[:min(maxHandovers, len(list))] {
+		out = append(out, p.Addr)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/intake/intake.go
@@ -0,0 +1,201 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+)
+
+// Bounds of taking in.
+const (
+	// stuckAfter is how long an append may be without an answer before further
+	// calls are refused instead of queued.
+	stuckAfter = 600 * time.Millisecond
+	maxWaiting = 2000    // calls
+	maxBytes   = 1 << 20 // of one append; the store takes 2 MiB
+)
+
+// ErrRefused says that the record was certainly not stored.
+var ErrRefused = errors.New("not stored")
+
+// ErrUnknown says that the record may be stored, or may yet be.
+var ErrUnknown = errors.New("it is not known whether the record is stored")
+
+// Settings are what an Intake needs.
+type Settings struct {
+	Log    ledger.Log
+	Name   string // of the producer; unique to this process
+	Now    func() time.Time
+	Unsure func(err error, tries int) // is told of appends without an answer
+}
+
+// Intake appends records for many callers.
+type Intake struct {
+	set Settings
+
+	mu       sync.Mutex
+	waiting  []*call
+	sentAt   time.Time // of the append under way, zero if there is none
+	lastGood time.Time
+	lastBad  time.Time
+	wake     chan struct{}
+}
+
+type call struct {
+	records []ledger.Record
+	done    chan error
+}
+
+// New gives an Intake; Run must be called for it to work.
+func New(set Settings) *Intake {
+	return &Intake{set: set, wake: make(chan struct{}, 1)}
+}
+
+// Store appends the records. Its error is ErrRefused or ErrUnknown; ErrUnknown
+// comes when ctx ends first.
+func (n *Intake) Store(ctx context.Context, records ...ledger.Record) error {
+	c := &call{records: records, done: make(chan error, 1)}
+	n.mu.Lock()
+	if len(n.waiting) >= maxWaiting || n.stuck() {
+		n.mu.Unlock()
+		return ErrRefused
+	}
+	n.waiting = append(n.waiting, c)
+	n.mu.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		return n.abandon(c)
+	}
+}
+
+// Healthy reports whether the store took the newest append in good time.
+func (n *Intake) Healthy() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stuck() && !n.lastBad.After(n.lastGood)
+}
+
+func (n *Intake) stuck() bool {
+	return !n.sentAt.IsZero() && n.set.Now().Sub(n.sentAt) > stuckAfter
+}
+
+// abandon gives up a call: it was not stored if it has not been sent yet.
+func (n *Intake) abandon(c *call) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, x := range n.waiting {
+		if x == c {
+			n.waiting = append(n.waiting[:i], n.waiting[i+1:]...)
+			return ErrRefused
+		}
+	}
+	select {
+	case err := <-c.done:
+		return err
+	default:
+		return ErrUnknown
+	}
+}
+
+// Run appends until ctx ends.
+func (n *Intake) Run(ctx context.Context) {
+	w := n.writer(0)
+	for lives := 1; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wake:
+		}
+		for {
+			calls, records := n.take()
+			if len(calls) == 0 {
+				break
+			}
+			_, err := w.Append(ctx, records)
+			n.finish(calls, err)
+			var refused *ledger.RefusedError
+			if err != nil && !errors.As(err, &refused) {
+				// The producer's numbers are out of step with the store's.
+				w = n.writer(lives)
+				lives++
+			}
+		}
+	}
+}
+
+func (n *Intake) writer(life int) *ledger.Writer {
+	w := ledger.NewWriter(n.set.Log, ledger.Producer{Name: fmt.Sprintf("%s-%d", n.set.Name, life), Epoch: 1}, 0)
+	w.Unsure = func(err error, tries int) {
+		n.refuseWaiting()
+		n.set.Unsure(err, tries)
+	}
+	return w
+}
+
+func (n *Intake) take() ([]*call, []ledger.Record) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var records []ledger.Record
+	size, used := 0, 0
+	for _, c := range n.waiting {
+		for _, r := range c.records {
+			size += len(r.Key) + len(r.Value)
+		}
+		if used > 0 && size > maxBytes {
+			break
+		}
+		records = append(records, c.records...)
+		used++
+	}
+	calls := n.waiting[:used:used]
+	n.waiting = append([]*call(nil), n.waiting[used:]...)
+	if used > 0 {
+		n.sentAt = n.set.Now()
+	}
+	return calls, records
+}
+
+// refuseWaiting refuses the calls that have not been sent: an append before them
+// has no answer, and a caller is served better elsewhere than by waiting.
+func (n *Intake) refuseWaiting() {
+	n.mu.Lock()
+	calls := n.waiting
+	n.waiting = nil
+	n.lastBad = n.set.Now()
+	n.mu.Unlock()
+	for _, c := range calls {
+		c.done <- ErrRefused
+	}
+}
+
+func (n *Intake) finish(calls []*call, err error) {
+	n.mu.Lock()
+	n.sentAt = time.Time{}
+	if err == nil {
+		n.lastGood = n.set.Now()
+	} else {
+		n.lastBad = n.set.Now()
+	}
+	n.mu.Unlock()
+	var refused *ledger.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		err = ErrRefused
+	case err != nil:
+		err = ErrUnknown
+	}
+	for _, c := range calls {
+		c.done <- err
+	}
+}
--- /dev/null
+++ b/internal/protocol/cell/doc.go
@@ -0,0 +1,2 @@
+// Package cell carries calls between the instances of a site.
+package cell
--- /dev/null
+++ b/internal/state/sched/advice.go
@@ -0,0 +1,201 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// Bounds of questions to the placement service.
+const (
+	maxAsked = 30 // workers named in one call; the objective of a job counts one such call a step
+	minAsked = 4
+	// askSlack is what a call may take beyond its computed time.
+	askSlack = 600 * time.Millisecond
+	// askPause follows a call that failed.
+	askPause = 100 * time.Millisecond
+	// ticketMargin is left of a ticket's validity for the start to travel.
+	ticketMargin = 120 * time.Millisecond
+	// quickCall tells short calls, for which one caller is kept free, from long ones.
+	quickCall = 60 * time.Millisecond
+	// longestQueue is the longest wait at a caller that is worth joining.
+	longestQueue = 1500 * time.Millisecond
+	callerBench  = 2 * time.Second // of a caller that failed
+)
+
+// stepAdvice is what is known of the placement of one step.
+type stepAdvice struct {
+	good    map[string]ticket
+	bad     map[string]bool
+	asking  bool
+	askedAt time.Time
+	pauseTo time.Time
+}
+
+type ticket struct {
+	value string
+	boot  int64
+	to    time.Time
+}
+
+// caller is an instance that asks the placement service for the leader.
+type caller struct {
+	name      string
+	busyTo    time.Time // when its calls under way should be answered
+	calls     int
+	benchedTo time.Time
+}
+
+// queueStat is what was learned of a queue.
+type queueStat struct {
+	good  float64 // share of workers that may run a step
+	ratio float64 // log of run time to estimate
+}
+
+// goodAtFirst is assumed of a queue of which nothing is known.
+const goodAtFirst = 0.4
+
+func (e *Engine) queue(name string) *queueStat {
+	q := e.queues[name]
+	if q == nil {
+		q = &queueStat{good: goodAtFirst}
+		e.queues[name] = q
+	}
+	return q
+}
+
+// SetCallers names the instances that can ask the placement service.
+func (e *Engine) SetCallers(names []string) {
+	present := map[string]bool{}
+	for _, n := range names {
+		present[n] = true
+		if e.callers[n] == nil {
+			e.callers[n] = &caller{name: n}
+		}
+	}
+	for n := range e.callers {
+		if !present[n] {
+			delete(e.callers, n)
+		}
+	}
+}
+
+func (j *job) stepAdvice(round, step int) *stepAdvice {
+	if j.advice[round] == nil {
+		j.advice[round] = map[int]*stepAdvice{}
+	}
+	a := j.advice[round][step]
+	if a == nil {
+		a = &stepAdvice{good: map[string]ticket{}, bad: map[string]bool{}}
+		j.advice[round][step] = a
+	}
+	return a
+}
+
+// caller picks the instance whose answer to a call of that length comes first,
+// or nil if none is worth waiting for. One is kept free of long calls.
+func (e *Engine) caller(now time.Time, length time.Duration) *caller {
+	var best, kept *caller
+	for _, c := range e.callers {
+		if kept == nil || c.name < kept.name {
+			kept = c
+		}
+	}
+	for _, c := range e.callers {
+		if now.Before(c.benchedTo) || (length > quickCall && c == kept && len(e.callers) > 1) {
+			continue
+		}
+		if best == nil || c.busyTo.Before(best.busyTo) || (c.busyTo.Equal(best.busyTo) && c.name < best.name) {
+			best = c
+		}
+	}
+	if best == nil || best.busyTo.Sub(now) > longestQueue {
+		return nil
+	}
+	return best
+}
+
+// ask sends a question about a step and reports whether it could.
+func (e *Engine) ask(now time.Time, j *job, round, step int, adv flow.Advice, workers []string) bool {
+	a := j.stepAdvice(round, step)
+	if a.asking || now.Before(a.pauseTo) || len(workers) == 0 {
+		return false
+	}
+	length := time.Duration((adv.CallMs + adv.WorkerMs*float64(len(workers))) * float64(time.Millisecond))
+	c := e.caller(now, length)
+	if c == nil {
+		return false
+	}
+	if c.busyTo.Before(now) {
+		c.busyTo = now
+	}
+	c.busyTo = c.busyTo.Add(length)
+	c.calls++
+	a.asking, a.askedAt = true, now
+	e.out.Asks = append(e.out.Asks, Ask{
+		Caller: c.name, Job: j.ID, Round: round, Step: step, Workers: workers, Wait: c.busyTo.Sub(now) + askSlack,
+	})
+	return true
+}
+
+// Advised takes the answer of the placement service: a ticket for each worker
+// that may run the step. ok is false if there was no answer.
+func (e *Engine) Advised(now time.Time, q Ask, tickets map[string]string, valid time.Duration, ok bool) {
+	if c := e.callers[q.Caller]; c != nil {
+		if c.calls--; c.calls == 0 {
+			c.busyTo = now
+		}
+		if !ok {
+			c.benchedTo = now.Add(callerBench)
+		}
+	}
+	j := e.jobs[q.Job]
+	if j == nil || j.advice == nil || j.advice[q.Round] == nil || j.advice[q.Round][q.Step] == nil {
+		return
+	}
+	a := j.stepAdvice(q.Round, q.Step)
+	a.asking = false
+	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
+	if !ok {
+		a.pauseTo = now.Add(askPause)
+		e.event("advice-failed", id, 0, q.Caller, "", now.Sub(a.askedAt))
+		return
+	}
+	known := e.queue(j.Queue)
+	for _, w := range q.Workers {
+		e.noteAdvice(a, known, w, tickets, now.Add(valid-ticketMargin))
+	}
+	e.event("advised", id, 0, q.Caller, "", now.Sub(a.askedAt))
+}
+
+// noteAdvice takes the answer about one worker; only the first one about it says
+// something of the queue.
+func (e *Engine) noteAdvice(a *stepAdvice, known *queueStat, id string, tickets map[string]string, to time.Time) {
+	_, wasGood := a.good[id]
+	first := !wasGood && !a.bad[id]
+	value, good := tickets[id]
+	w := e.workers[id]
+	switch {
+	case good && w != nil:
+		a.good[id] = ticket{value: value, boot: w.boot, to: to}
+	case !good:
+		a.bad[id] = true
+	}
+	if !first {
+		return
+	}
+	share := 0.0
+	if good {
+		share = 1
+	}
+	known.good += queueWeight * (share - known.good)
+}
+
+func (e *Engine) dropTicket(r *run) {
+	if m := r.job.advice[r.id.Round]; m != nil && m[r.id.Step] != nil {
+		if t, ok := m[r.id.Step].good[r.w.ID]; ok {
+			t.to = time.Time{}
+			m[r.id.Step].good[r.w.ID] = t
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/sched/place.go
@@ -0,0 +1,378 @@
+package sched
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
+
+// Weights of a worker's rank, as logs of ratios of run time.
+const (
+	// packWeight prefers the fuller of two workers that are equally fast.
+	packWeight = 0.3
+	// farWeight is the cost of running away from a task's data: the usual factor is 2.
+	farWeight = 0.7
+	// againWeight keeps a task from a worker on which it has just failed.
+	againWeight = 1.0
+	// tooSlow keeps tasks from a worker on which they take five times the mean.
+	tooSlow        = 1.6
+	tooSlowSamples = 3
+)
+
+// maxHeldBack is the number of waiting gangs for which room is kept free.
+const maxHeldBack = 2
+
+// seat is the room of a worker during one pass of decisions.
+type seat struct {
+	w    *worker
+	free work.Size
+	rank float64
+	fit  int // tasks of the step under decision that it can take
+}
+
+// pass is one round of decisions.
+type pass struct {
+	now      time.Time
+	seats    []*seat
+	heldBack int
+}
+
+// Decide places what can start now and asks for the advice that is missing.
+func (e *Engine) Decide(now time.Time) {
+	if e.conf == nil {
+		return
+	}
+	waiting := e.waiting(now)
+	if len(waiting) == 0 {
+		return
+	}
+	p := &pass{now: now}
+	for _, w := range e.order {
+		if w.usable(now) {
+			p.seats = append(p.seats, &seat{w: w, free: w.Capacity.Sub(w.used)})
+		}
+	}
+	for _, c := range waiting {
+		e.placeStep(p, c)
+	}
+}
+
+// usable reports whether tasks may start on the worker. After a restart its size
+// is known only when the list tells of the new incarnation.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && !w.Draining && w.reachable() && w.strays == 0 && !now.Before(w.benchedTo) &&
+		(w.Boot == 0 || w.Boot == w.boot)
+}
+
+// candidate is a step with tasks that may start.
+type candidate struct {
+	j     *job
+	round *flow.Round
+	step  int
+	idle  []int
+	class int // 0 in time, 1 late, 2 too late to be of use
+	prio  int
+}
+
+// lateFactor is how many objectives after its acceptance a job is of no use.
+const lateFactor = 3
+
+func (e *Engine) waiting(now time.Time) []candidate {
+	var list []candidate
+	for _, j := range e.live {
+		if j.State.Final() || now.Before(j.blockTil) {
+			continue
+		}
+		for _, r := range j.Progress.Rounds {
+			for s := range r.Steps {
+				if idle := e.idle(j, r, s); len(idle) > 0 {
+					list = append(list, candidate{j: j, round: r, step: s, idle: idle, class: lateness(now, j, r), prio: e.policy(j).Priority})
+				}
+			}
+		}
+	}
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := &list[i], &list[k]
+		if a.class != b.class {
+			return a.class < b.class
+		}
+		if a.prio != b.prio {
+			return a.prio < b.prio
+		}
+		return a.j.seq < b.j.seq
+	})
+	return list
+}
+
+func lateness(now time.Time, j *job, r *flow.Round) int {
+	since := max(j.AcceptedMs, j.DueMs(r.Number))
+	age := now.UnixMilli() - since
+	switch {
+	case j.objMs <= 0 || age <= j.objMs:
+		return 0
+	case age <= lateFactor*j.objMs:
+		return 1
+	}
+	return 2
+}
+
+// idle gives the tasks of a step that may start. A gang starts as a whole.
+func (e *Engine) idle(j *job, r *flow.Round, s int) []int {
+	var idle []int
+	for i := range r.Steps[s] {
+		if r.Steps[s][i].Phase == flow.Idle {
+			idle = append(idle, i)
+		}
+	}
+	if len(idle) == 0 || !r.Ready(j.Spec, s) {
+		return nil
+	}
+	if j.Steps[s].Gang && len(idle) != len(r.Steps[s]) {
+		return nil
+	}
+	return idle
+}
+
+// placeStep places the tasks of a step where its tickets allow, and asks about
+// more workers when these do not suffice.
+func (e *Engine) placeStep(p *pass, c candidate) {
+	st := &c.j.Steps[c.step]
+	pol := e.policy(c.j)
+	fits := e.rank(p, c, st, pol)
+	need := len(c.idle)
+	if !pol.Advice.Needed() {
+		if st.Gang && total(fits) < need {
+			e.holdBack(p, fits, st, need)
+			return
+		}
+		e.place(p, c, st, fits, nil)
+		return
+	}
+	a := c.j.stepAdvice(c.round.Number, c.step)
+	var ready, stale, fresh []*seat
+	for _, s := range fits {
+		t, good := a.good[s.w.ID]
+		switch {
+		case a.bad[s.w.ID]:
+		case good && t.boot == s.w.boot && p.now.Before(t.to):
+			ready = append(ready, s)
+		case good:
+			stale = append(stale, s)
+		default:
+			fresh = append(fresh, s)
+		}
+	}
+	if total(ready) >= need || (!st.Gang && len(ready) > 0) {
+		need -= e.place(p, c, st, ready, a)
+		if need == 0 {
+			return
+		}
+	}
+	e.askFor(p, c, st, pol, need, ready, stale, fresh)
+}
+
+// askFor asks for tickets of the workers that are known to be allowed, then
+// about others.
+func (e *Engine) askFor(p *pass, c candidate, st *flow.Step, pol flow.Policy, need int, ready, stale, fresh []*seat) {
+	var names []string
+	room := 0.0
+	for _, s := range stale {
+		if room < float64(need) && len(names) < maxAsked {
+			names = append(names, s.w.ID)
+			room += float64(s.fit)
+		}
+	}
+	if st.Gang {
+		// A ticket may expire while the others are fetched, so all are renewed.
+		for _, s := range ready {
+			if len(names) < maxAsked {
+				names = append(names, s.w.ID)
+				room += float64(s.fit)
+			}
+		}
+	}
+	share := max(e.queue(c.j.Queue).good, 0.05)
+	if room < float64(need) {
+		for _, s := range fresh {
+			if (room >= float64(need) && len(names) >= minAsked) || len(names) >= maxAsked {
+				break
+			}
+			names = append(names, s.w.ID)
+			room += float64(s.fit) * share
+		}
+	}
+	if st.Gang && room < float64(need)*0.7 {
+		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
+		return
+	}
+	e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names)
+}
+
+// holdBack keeps room free for a gang that can't start yet.
+func (e *Engine) holdBack(p *pass, seats []*seat, st *flow.Step, need int) {
+	if p.heldBack >= maxHeldBack {
+		return
+	}
+	p.heldBack++
+	for _, s := range seats {
+		if need <= 0 {
+			return
+		}
+		n := min(s.fit, need)
+		s.free = s.free.Sub(taskSize(st).Times(int64(n)))
+		need -= n
+	}
+}
+
+func total(seats []*seat) int {
+	n := 0
+	for _, s := range seats {
+		n += s.fit
+	}
+	return n
+}
+
+func taskSize(st *flow.Step) work.Size {
+	size := st.Size
+	if st.Filling {
+		size.CPU = 0
+	}
+	return size
+}
+
+// rank gives the workers that can take tasks of the step, best first.
+func (e *Engine) rank(p *pass, c candidate, st *flow.Step, pol flow.Policy) []*seat {
+	var out []*seat
+	size := taskSize(st)
+	onWorker := map[string]int{}
+	if st.MaxPerWorker > 0 {
+		for i := range c.round.Steps[c.step] {
+			if t := &c.round.Steps[c.step][i]; t.Phase == flow.Placed {
+				onWorker[t.Worker]++
+			}
+		}
+	}
+	failedOn := ""
+	if t := &c.round.Steps[c.step][c.idle[0]]; t.Fails > 0 {
+		failedOn = t.Worker
+	}
+	for _, s := range p.seats {
+		if s.w.Service != pol.Service || !size.Within(s.free) || (st.Label != "" && !s.w.has(st.Label)) {
+			continue
+		}
+		s.fit = fitCount(s.free, size, len(c.idle))
+		if st.MaxPerWorker > 0 {
+			s.fit = min(s.fit, st.MaxPerWorker-onWorker[s.w.ID])
+		}
+		if s.fit <= 0 {
+			continue
+		}
+		s.rank = s.w.slow
+		if s.w.Capacity.CPU > 0 {
+			s.rank += packWeight * float64(s.free.CPU) / float64(s.w.Capacity.CPU)
+		}
+		if st.DataRack != "" && s.w.Rack != st.DataRack {
+			s.rank += farWeight
+		}
+		if s.w.ID == failedOn {
+			s.rank += againWeight
+		}
+		if s.w.samples >= tooSlowSamples && s.w.slow > tooSlow {
+			s.rank += tooSlow
+		}
+		out = append(out, s)
+	}
+	sort.SliceStable(out, func(i, k int) bool { return out[i].rank < out[k].rank })
+	if st.OneRack {
+		out = oneRackFirst(out, len(c.idle))
+	}
+	return out
+}
+
+func (w *worker) has(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return w.Kind == label || w.Rack == label
+}
+
+func fitCount(free, size work.Size, most int) int {
+	n := int64(most)
+	if size.CPU > 0 {
+		n = min(n, free.CPU/size.CPU)
+	}
+	if size.Memory > 0 {
+		n = min(n, free.Memory/size.Memory)
+	}
+	if size.Accelerators > 0 {
+		n = min(n, free.Accelerators/size.Accelerators)
+	}
+	return int(n)
+}
+
+// oneRackFirst puts the workers of the rack first that holds all tasks with the
+// best mean rank, if there is one.
+func oneRackFirst(seats []*seat, need int) []*seat {
+	fit, sum := map[string]int{}, map[string]float64{}
+	for _, s := range seats {
+		n := min(s.fit, need-fit[s.w.Rack])
+		fit[s.w.Rack] += n
+		sum[s.w.Rack] += float64(n) * s.rank
+	}
+	best, bestRank := "", math.Inf(1)
+	for rack, n := range fit {
+		if r := sum[rack] / float64(max(n, 1)); n >= need && (r < bestRank || (r == bestRank && rack < best)) {
+			best, bestRank = rack, r
+		}
+	}
+	if best == "" {
+		return seats
+	}
+	sort.SliceStable(seats, func(i, k int) bool { return seats[i].w.Rack == best && seats[k].w.Rack != best })
+	return seats
+}
+
+// place places idle tasks of the step on the seats and gives how many.
+func (e *Engine) place(p *pass, c candidate, st *flow.Step, seats []*seat, a *stepAdvice) int {
+	if st.Gang && total(seats) < len(c.idle) {
+		return 0
+	}
+	run := 0
+	if st.Gang {
+		for _, i := range c.idle {
+			run = max(run, c.round.Steps[c.step][i].Run)
+		}
+	}
+	size := taskSize(st)
+	placed := 0
+	for _, s := range seats {
+		for ; s.fit > 0 && placed < len(c.idle); placed++ {
+			i := c.idle[placed]
+			t := &c.round.Steps[c.step][i]
+			if !st.Gang {
+				run = t.Run
+			}
+			t.Phase, t.Run, t.Worker, t.Boot = flow.Placed, run+1, s.w.ID, s.w.boot
+			r := e.newRun(p.now, c.j, TaskID{c.j.ID, c.round.Number, c.step, i}, t, s.w)
+			if a != nil {
+				r.ticket, r.ticketTo = a.good[s.w.ID].value, a.good[s.w.ID].to
+			}
+			e.starts = append(e.starts, r)
+			s.fit--
+			s.free = s.free.Sub(size)
+			e.event("placed", r.id, r.n, s.w.ID, "", p.now.Sub(c.j.seenAt))
+		}
+	}
+	if placed > 0 {
+		e.dirty[c.j] = true
+		if c.j.State == flow.Queued {
+			c.j.State = flow.Active
+		}
+	}
+	return placed
+}
