state/sched: bound what one pass of decisions costs

Ruled out: the paging of the newest records; a trial showed 10 pages in 0.4 s.

Conclusion: the cost of a pass must not grow with the queue.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -85,6 +85,7 @@
 	listing  listing
 	append   appending
 	decideAt time.Time
+	tickAt   time.Time
 	changed  bool
 	calls    *conc.WaitGroup
 	ctx      context.Context
@@ -192,10 +193,11 @@
 	if c.engine == nil {
 		return loopEvery
 	}
-	if c.changed {
-		return max(time.Millisecond, c.decideAt.Sub(now))
+	at := c.tickAt
+	if c.changed && c.decideAt.Before(at) {
+		at = c.decideAt
 	}
-	return loopEvery
+	return max(time.Millisecond, min(loopEvery, at.Sub(now)))
 }
 
 // takeConfig follows the operators' records.
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -211,6 +212,7 @@
 		j.Progress = flow.Progress{}
 	}
 	c.ready.Store(false)
+	c.settled = math.MaxInt64 // until the reader has begun anew
 	c.tail.Restart()
 	c.lead.bidAt = now.Add(bidPause)
 }
--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -47,7 +47,7 @@
 		return
 	}
 	c.stepList(now)
-	c.engine.Tick(now)
+	c.tickAt = c.engine.Tick(now)
 	if c.changed && !now.Before(c.decideAt) || now.Sub(c.decideAt) > loopEvery {
 		c.engine.Decide(now)
 		c.changed = false
--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -121,7 +121,7 @@
 	if a.asking || now.Before(a.pauseTo) || len(workers) == 0 {
 		return false
 	}
-	length := time.Duration((adv.CallMs + adv.WorkerMs*float64(len(workers))) * float64(time.Millisecond))
+	length := callLength(adv, len(workers))
 	c := e.caller(now, length)
 	if c == nil {
 		return false
@@ -138,6 +138,11 @@
 	return true
 }
 
+// callLength gives how long a call about n workers takes.
+func callLength(adv flow.Advice, n int) time.Duration {
+	return time.Duration((adv.CallMs + adv.WorkerMs*float64(n)) * float64(time.Millisecond))
+}
+
 // Advised takes the answer of the placement service: a ticket for each worker
 // that may run the step. ok is false if there was no answer.
 func (e *Engine) Advised(now time.Time, q Ask, tickets map[string]string, valid time.Duration, ok bool) {
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -71,6 +71,7 @@
 	out     Output
 	starts  []*run // recorded in the batch to come, not yet ordered
 	acks    map[*worker]ack
+	tickAt  time.Time
 }
 
 // job is a job with what the engine derives from it.
@@ -169,7 +170,7 @@
 	j.State, j.EndedMs = st, now.UnixMilli()
 	e.dirty[j] = true
 	e.event("job-ended", TaskID{Job: j.ID}, 0, "", st.String(), now.Sub(j.seenAt))
-	if j.runs > 0 {
+	if j.runs > 0 && st != flow.Complete {
 		for _, w := range e.order {
 			for _, r := range w.runs {
 				if r.job == j {
@@ -191,9 +192,13 @@
 }
 
 // Tick starts rounds that are due, forgets jobs whose time is over, and acts on
-// what has waited too long. It gives the time of the next call at the latest.
+// what has waited too long. It gives the time by which it wants to be called
+// again; a call that comes too soon does nothing else.
 func (e *Engine) Tick(now time.Time) time.Time {
-	next := now.Add(tickEvery)
+	if now.Before(e.tickAt) {
+		return e.tickAt
+	}
+	e.tickAt = now.Add(tickEvery)
 	kept := e.live[:0]
 	for _, j := range e.live {
 		if j.State.Final() && j.runs == 0 {
@@ -210,11 +215,15 @@
 		e.tickWorker(now, w)
 	}
 	e.expire(now)
-	return next
+	return now.Add(tickLatest)
 }
 
-// tickEvery is the longest time between two looks at time-outs.
-const tickEvery = 50 * time.Millisecond
+// tickLatest is the longest time between two looks at time-outs.
+const tickLatest = 40 * time.Millisecond
+
+// tickEvery is the shortest time between two looks at time-outs; the holds that
+// renew leases and acknowledge ends wait for them.
+const tickEvery = 8 * time.Millisecond
 
 func (e *Engine) beginRounds(now time.Time, j *job) {
 	for j.NextRound < j.Spec.Rounds() && now.UnixMilli() >= j.DueMs(j.NextRound) {
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -38,6 +38,20 @@
 	now      time.Time
 	seats    []*seat
 	heldBack int
+	most     work.Size // more than any seat has free in each resource
+	ranked   int       // steps for which workers were ranked
+}
+
+// maxRanked bounds the steps for which one pass ranks workers, so that a long
+// queue costs no more than a short one; the pass after it goes on.
+const maxRanked = 48
+
+// widest notes the most that any seat has free.
+func (p *pass) widest() {
+	p.most = work.Size{}
+	for _, s := range p.seats {
+		p.most = p.most.Max(s.free)
+	}
 }
 
 // Decide places what can start now and asks for the advice that is missing.
@@ -55,9 +69,31 @@
 			p.seats = append(p.seats, &seat{w: w, free: w.Capacity.Sub(w.used)})
 		}
 	}
+	p.widest()
 	for _, c := range waiting {
-		e.placeStep(p, c)
+		if p.ranked >= maxRanked {
+			return
+		}
+		if taskSize(&c.j.Steps[c.step]).Within(p.most) && e.promising(p, c) {
+			e.placeStep(p, c)
+		}
+	}
+}
+
+// promising reports whether a look at the workers can lead to a start or to a
+// question: not while an answer is under way and no ticket is at hand.
+func (e *Engine) promising(p *pass, c candidate) bool {
+	adv := e.policy(c.j).Advice
+	if !adv.Needed() {
+		return true
+	}
+	a := c.j.stepAdvice(c.round.Number, c.step)
+	for _, t := range a.good {
+		if p.now.Before(t.to) {
+			return true
+		}
 	}
+	return !a.asking && !p.now.Before(a.pauseTo) && e.caller(p.now, callLength(adv, minAsked)) != nil
 }
 
 // usable reports whether tasks may start on the worker. After a restart its size
@@ -141,7 +177,9 @@
 func (e *Engine) placeStep(p *pass, c candidate) {
 	st := &c.j.Steps[c.step]
 	pol := e.policy(c.j)
+	p.ranked++
 	fits := e.rank(p, c, st, pol)
+	defer p.widest()
 	need := len(c.idle)
 	if !pol.Advice.Needed() {
 		if st.Gang && total(fits) < need {
