state/sched: ask the placement service in good order

Ruled out: full workers (0.5 to 0.6 of the processors in use).

Conclusion: the service is the scarce resource; short calls go first and long ones don't queue. A failed dial to a peer is a true refusal.

--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -124,8 +124,3 @@
 
 // Pending gives how many accepted jobs of a queue wait for their first start.
 func (c *Core) Pending(queue string) int { return c.index.Pending(queue) }
-
-// Advise asks the placement service for a peer.
-func (c *Core) Advise(ctx context.Context, step string, workers []string) (Advice, error) {
-	return c.set.Advisers.Own(ctx, step, workers)
-}
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -35,7 +35,7 @@
 	// Own asks it from this instance.
 	Own func(ctx context.Context, step string, workers []string) (Advice, error)
 	// Peer asks it from another instance.
-	Peer func(ctx context.Context, addr, step string, workers []string) (Advice, error)
+	Peer func(ctx context.Context, addr, step string, workers []string, quick bool) (Advice, error)
 }
 
 // Settings are what a Core needs. All fields must be set.
@@ -70,6 +70,7 @@
 	config atomic.Pointer[flow.Config]
 	ready  atomic.Bool // the ledger has been read to its end once
 	leads  atomic.Bool
+	advise adviseQueue
 	peers  atomic.Pointer[map[string]instance]
 
 	events chan func(now time.Time) // run by the loop, in order
@@ -86,6 +87,7 @@
 	append   appending
 	decideAt time.Time
 	tickAt   time.Time
+	statsAt  time.Time
 	changed  bool
 	calls    *conc.WaitGroup
 	ctx      context.Context
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -17,14 +17,14 @@
 // Bounds of leadership.
 const (
 	// beatEvery is the longest time between two appends of a leader.
-	beatEvery = 300 * time.Millisecond
+	beatEvery = 250 * time.Millisecond
 	// silence is how long the ledger may be read without a sign of the leader
 	// before others bid: four beats.
-	silence = 1200 * time.Millisecond
+	silence = 1000 * time.Millisecond
 	// startSilence is the same when no leader has ever been heard.
 	startSilence = 300 * time.Millisecond
-	// rankStep keeps the bids of instances apart.
-	rankStep  = 120 * time.Millisecond
+	// rankStep keeps the bids of instances apart by a few answers of the store.
+	rankStep  = 40 * time.Millisecond
 	rankSteps = 8
 	// bidTimeout bounds one bid.
 	bidTimeout = time.Second
--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"time"
 
@@ -55,6 +56,23 @@
 	}
 	c.stepAppend(now)
 	c.dispatch(now)
+	if c.engine != nil && now.Sub(c.statsAt) >= statsEvery {
+		c.statsAt = now
+		c.logStats(now)
+	}
+}
+
+// statsEvery is the time between two lines on the leader's state.
+const statsEvery = time.Second
+
+func (c *Core) logStats(now time.Time) {
+	s := c.engine.Stats(now)
+	c.set.Meter.Gauge("live_jobs", float64(s.Live))
+	c.set.Meter.Gauge("runs", float64(s.Runs))
+	c.set.Meter.Gauge("cpu_used", s.CPUUsed)
+	c.set.Logger.Info().Int("jobs", s.Jobs).Int("live", s.Live).Int("waiting", s.Waiting).Int("waiting-late", s.WaitingLate).
+		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.Unsure).Int("workers", s.Workers).Int("usable", s.Usable).
+		Float64("cpu-used", math.Round(s.CPUUsed*100)/100).Int("asking", s.Asking).Int64("term", c.lead.term).Msg("leader: state")
 }
 
 // stepAppend stores what was decided, one append at a time.
@@ -288,13 +306,13 @@
 func (c *Core) ask(ctx context.Context, q sched.Ask) (Advice, error) {
 	step := sched.TaskID{Job: q.Job, Round: q.Round, Step: q.Step}.StepName()
 	if q.Caller == c.set.Instance {
-		return c.set.Advisers.Own(ctx, step, q.Workers)
+		return c.Advise(ctx, step, q.Workers, q.Quick)
 	}
 	peers := c.peers.Load()
 	if peers == nil || (*peers)[q.Caller].Addr == "" {
 		return Advice{}, errors.Errorf("instance %q is not known", q.Caller)
 	}
-	return c.set.Advisers.Peer(ctx, (*peers)[q.Caller].Addr, step, q.Workers)
+	return c.set.Advisers.Peer(ctx, (*peers)[q.Caller].Addr, step, q.Workers, q.Quick)
 }
 
 func (c *Core) setCallers() {
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -34,7 +35,7 @@
 
 // Advise asks the placement service for a peer.
 func (s *Server) Advise(ctx context.Context, q *cellpb.AdviseRequest) (*cellpb.AdviseReply, error) {
-	a, err := s.Core.Advise(ctx, q.Step, q.Workers)
+	a, err := s.Core.Advise(ctx, q.Step, q.Workers, q.Quick)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -99,8 +100,8 @@
 }
 
 // Advise asks the placement service through the instance at addr.
-func (c *Client) Advise(ctx context.Context, addr, step string, workers []string) (core.Advice, error) {
-	r, err := c.peer(addr).Advise(ctx, &cellpb.AdviseRequest{Step: step, Workers: workers})
+func (c *Client) Advise(ctx context.Context, addr, step string, workers []string, quick bool) (core.Advice, error) {
+	r, err := c.peer(addr).Advise(ctx, &cellpb.AdviseRequest{Step: step, Workers: workers, Quick: quick})
 	if err != nil {
 		return core.Advice{}, errs.At("ask for advice", addr, err)
 	}
@@ -133,9 +134,13 @@
 }
 
 // result gives the outcome as the error that core would give; a call without an
-// answer may have been carried out.
+// answer may have been carried out, unless no connection came about.
 func result(o *cellpb.Outcome, err error) (flow.Status, error) {
-	if err != nil {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return flow.Status{}, core.ErrNotRun
+	case err != nil:
 		return flow.Status{}, core.ErrUnknown
 	}
 	st := flow.Status{Queue: o.Queue, State: flow.State(o.State)}
--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"sort"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
@@ -16,11 +17,17 @@
 	askPause = 100 * time.Millisecond
 	// ticketMargin is left of a ticket's validity for the start to travel.
 	ticketMargin = 120 * time.Millisecond
-	// quickCall tells short calls, for which one caller is kept free, from long ones.
-	quickCall = 60 * time.Millisecond
-	// longestQueue is the longest wait at a caller that is worth joining.
-	longestQueue = 1500 * time.Millisecond
-	callerBench  = 2 * time.Second // of a caller that failed
+	// quickCall tells short calls, for which a third of the callers is kept free,
+	// from long ones.
+	quickCall = 30 * time.Millisecond
+	// quickQueue and longQueue are the longest waits at a caller that short and
+	// long calls join: a ticket that comes late is of no use.
+	quickQueue = 300 * time.Millisecond
+	longQueue  = 60 * time.Millisecond
+	// callerBench is the pause of a caller that failed, doubled with each further
+	// failure up to callerBenchMax.
+	callerBench    = time.Second
+	callerBenchMax = 8 * time.Second
 )
 
 // stepAdvice is what is known of the placement of one step.
@@ -43,6 +50,7 @@
 	name      string
 	busyTo    time.Time // when its calls under way should be answered
 	calls     int
+	failures  int // in a row
 	benchedTo time.Time
 }
 
@@ -73,11 +81,15 @@
 			e.callers[n] = &caller{name: n}
 		}
 	}
-	for n := range e.callers {
+	e.callerOrder = e.callerOrder[:0]
+	for n, c := range e.callers {
 		if !present[n] {
 			delete(e.callers, n)
+			continue
 		}
+		e.callerOrder = append(e.callerOrder, c)
 	}
+	sort.Slice(e.callerOrder, func(i, k int) bool { return e.callerOrder[i].name < e.callerOrder[k].name })
 }
 
 func (j *job) stepAdvice(round, step int) *stepAdvice {
@@ -93,23 +105,27 @@
 }
 
 // caller picks the instance whose answer to a call of that length comes first,
-// or nil if none is worth waiting for. One is kept free of long calls.
+// or nil if none is worth waiting for. Some are kept free of long calls.
 func (e *Engine) caller(now time.Time, length time.Duration) *caller {
-	var best, kept *caller
-	for _, c := range e.callers {
-		if kept == nil || c.name < kept.name {
-			kept = c
+	long := length > quickCall
+	kept, wait := 0, quickQueue
+	if long {
+		kept, wait = (len(e.callers)+1)/3, longQueue
+	}
+	var best *caller
+	for _, c := range e.callerOrder {
+		if kept > 0 {
+			kept--
+			continue
 		}
-	}
-	for _, c := range e.callers {
-		if now.Before(c.benchedTo) || (length > quickCall && c == kept && len(e.callers) > 1) {
+		if now.Before(c.benchedTo) || (c.failures > 0 && c.calls > 0) {
 			continue
 		}
-		if best == nil || c.busyTo.Before(best.busyTo) || (c.busyTo.Equal(best.busyTo) && c.name < best.name) {
+		if best == nil || c.busyTo.Before(best.busyTo) {
 			best = c
 		}
 	}
-	if best == nil || best.busyTo.Sub(now) > longestQueue {
+	if best == nil || best.busyTo.Sub(now) > wait {
 		return nil
 	}
 	return best
@@ -134,6 +150,7 @@
 	a.asking, a.askedAt = true, now
 	e.out.Asks = append(e.out.Asks, Ask{
 		Caller: c.name, Job: j.ID, Round: round, Step: step, Workers: workers, Wait: c.busyTo.Sub(now) + askSlack,
+		Quick: length <= quickCall,
 	})
 	return true
 }
@@ -150,8 +167,11 @@
 		if c.calls--; c.calls == 0 {
 			c.busyTo = now
 		}
-		if !ok {
-			c.benchedTo = now.Add(callerBench)
+		if ok {
+			c.failures = 0
+		} else {
+			c.benchedTo = now.Add(min(callerBench<<min(c.failures, 4), callerBenchMax))
+			c.failures++
 		}
 	}
 	j := e.jobs[q.Job]
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -56,22 +56,23 @@
 
 // Engine is the leader's state. Its methods are called from one goroutine.
 type Engine struct {
-	p       Params
-	began   time.Time
-	conf    *flow.Config
-	jobs    map[string]*job
-	live    []*job // jobs that are not final or still have runs
-	workers map[string]*worker
-	order   []*worker // by id
-	callers map[string]*caller
-	dirty   map[*job]bool
-	drops   []string
-	queues  map[string]*queueStat
-	holds   uint64
-	out     Output
-	starts  []*run // recorded in the batch to come, not yet ordered
-	acks    map[*worker]ack
-	tickAt  time.Time
+	p           Params
+	began       time.Time
+	conf        *flow.Config
+	jobs        map[string]*job
+	live        []*job // jobs that are not final or still have runs
+	workers     map[string]*worker
+	order       []*worker // by id
+	callers     map[string]*caller
+	callerOrder []*caller // by name
+	dirty       map[*job]bool
+	drops       []string
+	queues      map[string]*queueStat
+	holds       uint64
+	out         Output
+	starts      []*run // recorded in the batch to come, not yet ordered
+	acks        map[*worker]ack
+	tickAt      time.Time
 }
 
 // job is a job with what the engine derives from it.
--- a/internal/state/sched/output.go
+++ b/internal/state/sched/output.go
@@ -40,6 +40,7 @@
 	Step    int
 	Workers []string
 	Wait    time.Duration // the answer is expected within it
+	Quick   bool          // a short call, which goes before long ones
 }
 
 // Change is the new stored progress of a job, or its removal.
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -23,7 +23,7 @@
 )
 
 // maxHeldBack is the number of waiting gangs for which room is kept free.
-const maxHeldBack = 2
+const maxHeldBack = 4
 
 // seat is the room of a worker during one pass of decisions.
 type seat struct {
@@ -93,7 +93,11 @@
 			return true
 		}
 	}
-	return !a.asking && !p.now.Before(a.pauseTo) && e.caller(p.now, callLength(adv, minAsked)) != nil
+	if a.asking {
+		// A gang's room is kept while the answer is under way.
+		return c.j.Steps[c.step].Gang && p.heldBack < maxHeldBack
+	}
+	return !p.now.Before(a.pauseTo) && e.caller(p.now, callLength(adv, minAsked)) != nil
 }
 
 // usable reports whether tasks may start on the worker. After a restart its size
@@ -209,6 +213,10 @@
 			return
 		}
 	}
+	if a.asking {
+		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
+		return
+	}
 	e.askFor(p, c, st, pol, need, ready, stale, fresh)
 }
 
@@ -246,7 +254,9 @@
 		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
 		return
 	}
-	e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names)
+	if e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names) && st.Gang {
+		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
+	}
 }
 
 // holdBack keeps room free for a gang that can't start yet.
--- /dev/null
+++ b/internal/state/sched/stats.go
@@ -0,0 +1,56 @@
+package sched
+
+import "time"
+
+// Stats are figures of the leader's state for logs and metrics.
+type Stats struct {
+	Jobs        int     // known
+	Live        int     // not ended
+	Waiting     int     // steps with tasks that may start
+	WaitingLate int     // of them, past their objective
+	Runs        int     // not known to have ended
+	Stopping    int     // of them, being stopped
+	Workers     int     // listed
+	Usable      int     // of them, open for starts
+	CPUUsed     float64 // share of the usable workers' processors
+	Asking      int     // questions under way
+	Unsure      int     // starts that got no answer
+}
+
+// Stats gives the present figures.
+func (e *Engine) Stats(now time.Time) Stats {
+	s := Stats{Jobs: len(e.jobs), Live: len(e.live)}
+	for _, c := range e.waiting(now) {
+		s.Waiting++
+		if c.class > 0 {
+			s.WaitingLate++
+		}
+	}
+	var used, room int64
+	for _, w := range e.order {
+		s.Runs += len(w.runs)
+		for _, r := range w.runs {
+			if r.stopping != "" {
+				s.Stopping++
+			}
+			if r.unsure {
+				s.Unsure++
+			}
+		}
+		if w.listed {
+			s.Workers++
+		}
+		if w.usable(now) {
+			s.Usable++
+			used += w.used.CPU
+			room += w.Capacity.CPU
+		}
+	}
+	if room > 0 {
+		s.CPUUsed = float64(used) / float64(room)
+	}
+	for _, c := range e.callers {
+		s.Asking += c.calls
+	}
+	return s
+}
