--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -17,6 +17,9 @@
 	// decideEvery is the shortest time between two passes of decisions, so that
 	// one append carries what came in between.
 	decideEvery = 8 * time.Millisecond
+	// appendEvery is the shortest time between two appends, each of which has a
+	// price and takes some 7 ms.
+	appendEvery = 20 * time.Millisecond
 	listEvery   = 500 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
 	// Time-outs of calls to workers beyond their own waiting.
@@ -78,7 +81,7 @@
 // stepAppend stores what was decided, one append at a time.
 func (c *Core) stepAppend(now time.Time) {
 	a := &c.append
-	if a.busy {
+	if a.busy || now.Sub(a.lastAt) < appendEvery {
 		return
 	}
 	b := c.engine.Batch()
--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -27,7 +27,7 @@
 	// callerBench is the pause of a caller that failed, doubled with each further
 	// failure up to callerBenchMax.
 	callerBench    = time.Second
-	callerBenchMax = 8 * time.Second
+	callerBenchMax = 3 * time.Second
 )
 
 // stepAdvice is what is known of the placement of one step.
@@ -107,20 +107,18 @@
 // caller picks the instance whose answer to a call of that length comes first,
 // or nil if none is worth waiting for. Some are kept free of long calls.
 func (e *Engine) caller(now time.Time, length time.Duration) *caller {
-	long := length > quickCall
-	kept, wait := 0, quickQueue
-	if long {
-		kept, wait = (len(e.callers)+1)/3, longQueue
-	}
-	var best *caller
+	healthy := make([]*caller, 0, len(e.callerOrder))
 	for _, c := range e.callerOrder {
-		if kept > 0 {
-			kept--
-			continue
-		}
-		if now.Before(c.benchedTo) || (c.failures > 0 && c.calls > 0) {
-			continue
+		if !now.Before(c.benchedTo) && (c.failures == 0 || c.calls == 0) {
+			healthy = append(healthy, c)
 		}
+	}
+	wait := quickQueue
+	if length > quickCall {
+		healthy, wait = healthy[(len(healthy)+1)/3:], longQueue
+	}
+	var best *caller
+	for _, c := range healthy {
 		if best == nil || c.busyTo.Before(best.busyTo) {
 			best = c
 		}
