--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -79,6 +79,7 @@
 	runs     map[TaskID]*simRun
 	ends     []End
 	lastEnd  int64
+	lapsedTo int64          // ends up to it came before a lapse of the lease
 	closed   map[TaskID]int // newest run stopped or ended
 	hangs    bool
 	failsAll bool
@@ -352,11 +353,14 @@
 	if late {
 		delay = time.Duration(2+10*s.rnd.Float64()) * time.Second
 	}
+	// A worker that carries an order out late has received it: it is lost with the
+	// worker's incarnation.
+	boot := w.boot
 	switch o.Kind {
 	case OrderStart:
 		silent(func() { e.Started(s.now, o, AnswerNone, 0) })
 		s.after(delay, func() {
-			if lost || !w.hears() {
+			if lost || !w.hears() || (late && w.boot != boot) {
 				return
 			}
 			a := w.start(term, o)
@@ -367,7 +371,7 @@
 	case OrderStop:
 		silent(func() { e.Stopped(s.now, o, AnswerNone, 0) })
 		s.after(delay, func() {
-			if lost || !w.hears() {
+			if lost || !w.hears() || (late && w.boot != boot) {
 				return
 			}
 			a := w.stop(term, o)
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -18,7 +18,7 @@
 func (w *simWorker) reboot() {
 	w.boot++
 	w.born = w.s.now
-	w.fence, w.lease, w.lastEnd = 0, 0, 0
+	w.fence, w.lease, w.lastEnd, w.lapsedTo = 0, 0, 0, 0
 	w.runs, w.closed, w.ends, w.waiting = map[TaskID]*simRun{}, map[TaskID]int{}, nil, nil
 }
 
@@ -40,6 +40,7 @@
 		if w.boot != boot || w.clock() < w.lease {
 			return
 		}
+		w.lapsedTo = w.lastEnd
 		for _, r := range w.sorted() {
 			w.finish(r, EndLapsed)
 		}
@@ -181,12 +182,18 @@
 		if s.rnd.Float64() < s.failTask {
 			kind = EndFailed
 		}
+		for i := range step.Count {
+			id := r.id
+			id.Index = i
+			if _, m := s.member(id, r.n); m == nil {
+				kind = EndBroken
+			}
+		}
 		for i := range step.Count {
 			id := r.id
 			id.Index = i
 			mw, m := s.member(id, r.n)
 			if m == nil {
-				kind = EndBroken
 				continue
 			}
 			mw.finish(m, kind)
@@ -277,9 +284,13 @@
 	})
 }
 
-// acknowledged takes an end off the worker's list for good.
+// acknowledged takes an end off the worker's list for good. An end counts for
+// nothing once the worker's lease has lapsed after it.
 func (w *simWorker) acknowledged(e End) {
 	s := w.s
+	if e.Number <= w.lapsedTo {
+		return
+	}
 	switch e.Kind {
 	case EndDone:
 		s.doneRuns[e.Task] = true
