--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -37,6 +37,7 @@
 	asking  bool
 	askedAt time.Time
 	pauseTo time.Time
+	yieldAt time.Time // tasks of lower priority may be stopped again
 }
 
 type ticket struct {
@@ -57,16 +58,20 @@
 // queueStat is what was learned of a queue.
 type queueStat struct {
 	good  float64 // share of workers that may run a step
-	ratio float64 // log of run time to estimate
+	ratio float64 // mean log of run time to estimate
+	dev   float64 // mean deviation from it
 }
 
 // goodAtFirst is assumed of a queue of which nothing is known.
 const goodAtFirst = 0.4
 
+// devAtFirst is assumed of a queue's estimates: a factor of about 1.6.
+const devAtFirst = 0.5
+
 func (e *Engine) queue(name string) *queueStat {
 	q := e.queues[name]
 	if q == nil {
-		q = &queueStat{good: goodAtFirst}
+		q = &queueStat{good: goodAtFirst, dev: devAtFirst}
 		e.queues[name] = q
 	}
 	return q
--- a/internal/state/sched/ends.go
+++ b/internal/state/sched/ends.go
@@ -310,13 +310,17 @@
 func (e *Engine) learn(now time.Time, r *run, st *flow.Step) {
 	clear(r.w.failJobs)
 	r.w.lastDone = now
-	if st.EstimateMs <= 0 || st.Gang || r.startedAt.IsZero() || r.n > 1 {
+	if st.EstimateMs <= 0 || r.startedAt.IsZero() || r.n > 1 {
 		return
 	}
 	took := math.Log(float64(now.Sub(r.startedAt).Milliseconds()+1) / float64(st.EstimateMs))
 	q := e.queue(r.job.Queue)
 	rel := max(-speedBound, min(speedBound, took-q.ratio))
-	q.ratio += queueWeight * (took - q.ratio)
+	q.ratio += queueWeight * rel
+	q.dev += queueWeight * (math.Abs(rel) - q.dev)
+	if st.Gang {
+		return // the slowest member decides
+	}
 	r.w.slow += speedWeight * (rel - r.w.slow)
 	r.w.samples++
 }
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -73,6 +73,7 @@
 	starts      []*run // recorded in the batch to come, not yet ordered
 	acks        map[*worker]ack
 	tickAt      time.Time
+	held        []held // room kept for steps that wait
 }
 
 // job is a job with what the engine derives from it.
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -22,24 +22,22 @@
 	tooSlowSamples = 3
 )
 
-// maxHeldBack is the number of waiting gangs for which room is kept free.
-const maxHeldBack = 4
-
 // seat is the room of a worker during one pass of decisions.
 type seat struct {
 	w    *worker
 	free work.Size
 	rank float64
 	fit  int // tasks of the step under decision that it can take
+	more int // further ones if tasks of lower priority give way
 }
 
 // pass is one round of decisions.
 type pass struct {
-	now      time.Time
-	seats    []*seat
-	heldBack int
-	most     work.Size // more than any seat has free in each resource
-	ranked   int       // steps for which workers were ranked
+	now    time.Time
+	seats  []*seat
+	lowest int       // the lowest priority (highest number) of any job
+	most   work.Size // more than any seat has free in each resource
+	ranked int       // steps for which workers were ranked
 }
 
 // maxRanked bounds the steps for which one pass ranks workers, so that a long
@@ -70,11 +68,20 @@
 		}
 	}
 	p.widest()
+	e.expireHolds(now)
+	for _, c := range waiting {
+		p.lowest = max(p.lowest, c.prio)
+	}
+	for _, r := range e.live {
+		if r.runs > 0 {
+			p.lowest = max(p.lowest, e.policy(r).Priority)
+		}
+	}
 	for _, c := range waiting {
 		if p.ranked >= maxRanked {
 			return
 		}
-		if taskSize(&c.j.Steps[c.step]).Within(p.most) && e.promising(p, c) {
+		if (taskSize(&c.j.Steps[c.step]).Within(p.most) || c.prio < p.lowest) && e.promising(p, c) {
 			e.placeStep(p, c)
 		}
 	}
@@ -95,7 +102,7 @@
 	}
 	if a.asking {
 		// A gang's room is kept while the answer is under way.
-		return c.j.Steps[c.step].Gang && p.heldBack < maxHeldBack
+		return c.j.Steps[c.step].Gang && len(a.good) > 0
 	}
 	return !p.now.Before(a.pauseTo) && e.caller(p.now, callLength(adv, minAsked)) != nil
 }
@@ -176,103 +183,93 @@
 	return idle
 }
 
-// placeStep places the tasks of a step where its tickets allow, and asks about
-// more workers when these do not suffice.
+// placeStep places the tasks of a step where its tickets allow, and does what
+// brings the rest nearer to their start: it asks for tickets, makes room, or
+// keeps room free.
 func (e *Engine) placeStep(p *pass, c candidate) {
 	st := &c.j.Steps[c.step]
 	pol := e.policy(c.j)
 	p.ranked++
-	fits := e.rank(p, c, st, pol)
+	seats := e.rank(p, c, st, pol)
 	defer p.widest()
 	need := len(c.idle)
 	if !pol.Advice.Needed() {
-		if st.Gang && total(fits) < need {
-			e.holdBack(p, fits, st, need)
-			return
+		if n := e.place(p, c, st, seats, nil); n < need {
+			e.makeRoom(p, c, st, seats, need-n)
 		}
-		e.place(p, c, st, fits, nil)
 		return
 	}
 	a := c.j.stepAdvice(c.round.Number, c.step)
-	var ready, stale, fresh []*seat
-	for _, s := range fits {
+	var ready, known, fresh []*seat
+	for _, s := range seats {
 		t, good := a.good[s.w.ID]
 		switch {
 		case a.bad[s.w.ID]:
 		case good && t.boot == s.w.boot && p.now.Before(t.to):
 			ready = append(ready, s)
+			known = append(known, s)
 		case good:
-			stale = append(stale, s)
+			known = append(known, s)
 		default:
 			fresh = append(fresh, s)
 		}
 	}
-	if total(ready) >= need || (!st.Gang && len(ready) > 0) {
-		need -= e.place(p, c, st, ready, a)
-		if need == 0 {
-			return
-		}
+	if need -= e.place(p, c, st, ready, a); need == 0 {
+		return
 	}
+	chosen := e.makeRoom(p, c, st, known, need)
 	if a.asking {
-		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
 		return
 	}
-	e.askFor(p, c, st, pol, need, ready, stale, fresh)
+	if names := stale(p, a, chosen, st.Gang); len(names) > 0 {
+		e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names)
+		return
+	}
+	if len(chosen) == 0 {
+		e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, e.unknown(c, known, fresh, need, st.Gang))
+	}
 }
 
-// askFor asks for tickets of the workers that are known to be allowed, then
-// about others.
-func (e *Engine) askFor(p *pass, c candidate, st *flow.Step, pol flow.Policy, need int, ready, stale, fresh []*seat) {
+// stale names those of the chosen workers whose tickets must be fetched. The
+// tickets of a gang are fetched together, so that none expires before the last.
+func stale(p *pass, a *stepAdvice, chosen []*seat, gang bool) []string {
 	var names []string
-	room := 0.0
-	for _, s := range stale {
-		if room < float64(need) && len(names) < maxAsked {
-			names = append(names, s.w.ID)
-			room += float64(s.fit)
+	old := 0
+	for _, s := range chosen {
+		valid := a.good[s.w.ID].boot == s.w.boot && p.now.Before(a.good[s.w.ID].to)
+		if !valid {
+			old++
 		}
-	}
-	if st.Gang {
-		// A ticket may expire while the others are fetched, so all are renewed.
-		for _, s := range ready {
-			if len(names) < maxAsked {
-				names = append(names, s.w.ID)
-				room += float64(s.fit)
-			}
-		}
-	}
-	share := max(e.queue(c.j.Queue).good, 0.05)
-	if room < float64(need) {
-		for _, s := range fresh {
-			if (room >= float64(need) && len(names) >= minAsked) || len(names) >= maxAsked {
-				break
-			}
+		if (!valid || gang) && len(names) < maxAsked {
 			names = append(names, s.w.ID)
-			room += float64(s.fit) * share
 		}
 	}
-	if st.Gang && room < float64(need)*0.7 {
-		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
-		return
-	}
-	if e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names) && st.Gang {
-		e.holdBack(p, append(append(ready, stale...), fresh...), st, need)
+	if old == 0 {
+		return nil
 	}
+	return names
 }
 
-// holdBack keeps room free for a gang that can't start yet.
-func (e *Engine) holdBack(p *pass, seats []*seat, st *flow.Step, need int) {
-	if p.heldBack >= maxHeldBack {
-		return
+// unknown names workers to ask about for the first time: as many as should hold
+// the tasks that the known ones can't, by the queue's share of allowed workers.
+func (e *Engine) unknown(c candidate, known, fresh []*seat, need int, gang bool) []string {
+	room := 0.0
+	if gang {
+		// Asked about again once room comes free; what is missing is more workers.
+		for _, s := range known {
+			room += float64(s.fit + s.more)
+		}
 	}
-	p.heldBack++
-	for _, s := range seats {
-		if need <= 0 {
-			return
+	share := max(e.queue(c.j.Queue).good, 0.05)
+	var names []string
+	for _, s := range fresh {
+		if len(names) >= maxAsked || (room >= float64(need) && len(names) >= minAsked) {
+			break
 		}
-		n := min(s.fit, need)
-		s.free = s.free.Sub(taskSize(st).Times(int64(n)))
-		need -= n
+		names = append(names, s.w.ID)
+		room += float64(max(s.fit+s.more, 1)) * share
 	}
+	return names
 }
 
 func total(seats []*seat) int {
@@ -308,14 +305,26 @@
 		failedOn = t.Worker
 	}
 	for _, s := range p.seats {
-		if s.w.Service != pol.Service || !size.Within(s.free) || (st.Label != "" && !s.w.has(st.Label)) {
+		if s.w.Service != pol.Service || !size.Within(s.w.Capacity) || (st.Label != "" && !s.w.has(st.Label)) {
 			continue
 		}
-		s.fit = fitCount(s.free, size, len(c.idle))
+		most := len(c.idle)
 		if st.MaxPerWorker > 0 {
-			s.fit = min(s.fit, st.MaxPerWorker-onWorker[s.w.ID])
+			most = min(most, st.MaxPerWorker-onWorker[s.w.ID])
+		}
+		free := s.free.Sub(e.heldForOthers(s.w, c))
+		s.fit = fitCount(free, size, most)
+		s.more = 0
+		if st.Gang && s.fit < most {
+			s.more = fitCount(free.Add(e.yielding(s.w, c)), size, most) - s.fit
+		}
+		if s.fit < most {
+			s.more = 0
+			if st.Gang && s.fit < most {
+				s.more = fitCount(free.Add(e.yielding(s.w, c)), size, most) - s.fit
+			}
 		}
-		if s.fit <= 0 {
+		if s.fit+s.more <= 0 {
 			continue
 		}
 		s.rank = s.w.slow
@@ -333,7 +342,12 @@
 		}
 		out = append(out, s)
 	}
-	sort.SliceStable(out, func(i, k int) bool { return out[i].rank < out[k].rank })
+	sort.SliceStable(out, func(i, k int) bool {
+		if (out[i].fit > 0) != (out[k].fit > 0) {
+			return out[i].fit > 0
+		}
+		return out[i].rank < out[k].rank
+	})
 	if st.OneRack {
 		out = oneRackFirst(out, len(c.idle))
 	}
@@ -351,6 +365,9 @@
 
 func fitCount(free, size work.Size, most int) int {
 	n := int64(most)
+	if free.CPU < 0 || free.Memory < 0 || free.Accelerators < 0 {
+		return 0
+	}
 	if size.CPU > 0 {
 		n = min(n, free.CPU/size.CPU)
 	}
@@ -417,6 +434,7 @@
 		}
 	}
 	if placed > 0 {
+		e.release(c)
 		e.dirty[c.j] = true
 	}
 	return placed
--- /dev/null
+++ b/internal/state/sched/room.go
@@ -0,0 +1,185 @@
+package sched
+
+import (
+	"sort"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
+
+// Bounds of making room.
+const (
+	// holdFor is how long room is kept for a step: a stop and a call for tickets.
+	holdFor = 800 * time.Millisecond
+	// yieldPause is the time between two rounds of stops for one step.
+	yieldPause = 700 * time.Millisecond
+	// minYieldAge keeps a task that has just started from giving way.
+	minYieldAge = 300 * time.Millisecond
+	// maxHolders is the number of steps for which room may be kept at a time
+	// without being sufficient yet.
+	maxHolders = 2
+)
+
+// held is room on a worker that is kept for a step.
+type held struct {
+	w    *worker
+	step TaskID // of the step; Index is 0
+	prio int    // of its queue
+	size work.Size
+	to   time.Time
+}
+
+func (c candidate) stepID() TaskID {
+	return TaskID{Job: c.j.ID, Round: c.round.Number, Step: c.step}
+}
+
+func (e *Engine) expireHolds(now time.Time) {
+	kept := e.held[:0]
+	for _, h := range e.held {
+		if now.Before(h.to) {
+			kept = append(kept, h)
+		}
+	}
+	e.held = kept
+}
+
+// heldForOthers gives the room of a worker that is kept for other steps of at
+// least the same priority; short urgent tasks pass a gang that waits.
+func (e *Engine) heldForOthers(w *worker, c candidate) work.Size {
+	var sum work.Size
+	id := c.stepID()
+	for _, h := range e.held {
+		if h.w == w && h.step != id && h.prio <= c.prio {
+			sum = sum.Add(h.size)
+		}
+	}
+	return sum
+}
+
+// release gives up the room that is kept for a step.
+func (e *Engine) release(c candidate) {
+	id := c.stepID()
+	kept := e.held[:0]
+	for _, h := range e.held {
+		if h.step != id {
+			kept = append(kept, h)
+		}
+	}
+	e.held = kept
+}
+
+// yields reports whether a run may be stopped for a step of that priority: it
+// must lose next to nothing by it.
+func (e *Engine) yields(r *run, prio int) bool {
+	st := &r.job.Steps[r.id.Step]
+	return st.Checkpoints && !st.Gang && !st.Lasting && r.confirmed && r.stopping == "" && e.policy(r.job).Priority > prio
+}
+
+// yielding gives the room that runs of lower priority could give up.
+func (e *Engine) yielding(w *worker, c candidate) work.Size {
+	var sum work.Size
+	for _, r := range w.runs {
+		if e.yields(r, c.prio) {
+			sum = sum.Add(r.size)
+		}
+		if r.stopping != "" && r.job.State != flow.Complete {
+			sum = sum.Add(r.size)
+		}
+	}
+	return sum
+}
+
+// makeRoom chooses seats for the tasks that could not start, keeps their room
+// for the step, and stops tasks of lower priority where that is needed. It gives
+// the chosen seats, none if they would not suffice for a gang.
+func (e *Engine) makeRoom(p *pass, c candidate, st *flow.Step, seats []*seat, need int) []*seat {
+	sum := 0
+	for _, s := range seats {
+		sum += s.fit + s.more
+	}
+	if sum == 0 || (st.Gang && sum < need) {
+		if st.Gang && sum > 0 && e.holders() < maxHolders {
+			e.keep(p, c, st, seats, need)
+		}
+		return nil
+	}
+	a := c.j.stepAdvice(c.round.Number, c.step)
+	mayStop := !p.now.Before(a.yieldAt) && c.class < 2
+	var chosen []*seat
+	stopped := false
+	for _, s := range seats {
+		if need <= 0 {
+			break
+		}
+		n := min(s.fit, need)
+		if s.more > 0 && n < need && (mayStop || st.Gang) {
+			n = min(s.fit+s.more, need)
+		}
+		if n == 0 {
+			continue
+		}
+		if n > s.fit && mayStop {
+			e.stopFor(p.now, c, s, taskSize(st).Times(int64(n)))
+			stopped = true
+		}
+		need -= n
+		chosen = append(chosen, s)
+		e.holdRoom(p, c, s, taskSize(st).Times(int64(n)))
+	}
+	if stopped {
+		a.yieldAt = p.now.Add(yieldPause)
+	}
+	return chosen
+}
+
+// keep keeps what room there is for a gang for which it does not suffice yet.
+func (e *Engine) keep(p *pass, c candidate, st *flow.Step, seats []*seat, need int) {
+	for _, s := range seats {
+		if n := min(s.fit, need); n > 0 {
+			e.holdRoom(p, c, s, taskSize(st).Times(int64(n)))
+			need -= n
+		}
+	}
+}
+
+// holders gives the number of steps for which room is kept.
+func (e *Engine) holders() int {
+	steps := map[TaskID]bool{}
+	for _, h := range e.held {
+		steps[h.step] = true
+	}
+	return len(steps)
+}
+
+func (e *Engine) holdRoom(p *pass, c candidate, s *seat, size work.Size) {
+	id := c.stepID()
+	for i := range e.held {
+		if e.held[i].w == s.w && e.held[i].step == id {
+			e.held[i].size, e.held[i].to = size, p.now.Add(holdFor)
+			return
+		}
+	}
+	e.held = append(e.held, held{w: s.w, step: id, prio: c.prio, size: size, to: p.now.Add(holdFor)})
+}
+
+// stopFor stops runs of lower priority on a worker until size would fit.
+func (e *Engine) stopFor(now time.Time, c candidate, s *seat, size work.Size) {
+	free := s.free.Sub(e.heldForOthers(s.w, c))
+	var victims []*run
+	for _, r := range s.w.list() {
+		if r.stopping != "" {
+			free = free.Add(r.size) // its room comes free anyway
+		} else if e.yields(r, c.prio) && now.Sub(r.startedAt) >= minYieldAge {
+			victims = append(victims, r)
+		}
+	}
+	sort.SliceStable(victims, func(i, k int) bool { return victims[i].size.CPU > victims[k].size.CPU })
+	for _, r := range victims {
+		if size.Within(free) {
+			return
+		}
+		free = free.Add(r.size)
+		e.stop(now, r, "gives way to "+c.j.ID)
+	}
+}
--- a/internal/state/sched/stuck.go
+++ b/internal/state/sched/stuck.go
@@ -5,34 +5,53 @@
 	"time"
 )
 
-// Bounds of telling that tasks stand still. Estimates are off by up to a factor
-// of two, and workers differ by less than three; both are learned.
+// Bounds of telling that tasks stand still. What a queue's estimates are worth
+// is learned: the mean and the deviation of the log of run time to estimate.
 const (
-	// overdueFactor times the expected run time and overdueSlack more make a run
-	// overdue; several of distinct jobs on one worker say that the worker is stuck.
-	overdueFactor = 2.5
-	overdueSlack  = 500 * time.Millisecond
-	stuckJobs     = 2
-	// lostFactor and lostSlack are the same for a run by itself.
-	lostFactor = 8
-	lostSlack  = 6 * time.Second
+	// A run is overdue at overdueBase plus overdueDev deviations above the mean,
+	// and overdueSlack more; several of distinct jobs on one worker say that the
+	// worker is stuck.
+	overdueBase  = 0.5
+	overdueDev   = 2.5
+	overdueSlack = 500 * time.Millisecond
+	stuckJobs    = 2
+	// lostBase, lostDev and lostSlack are the same for a run by itself,
+	// lostMost the most deviations together.
+	lostBase  = 1.0
+	lostDev   = 4.0
+	lostMost  = 2.0
+	lostSlack = 10 * time.Second
+	// minSlow and maxSlow bound what was learned of queue and worker together:
+	// short tasks seem slow by the time that their end travels.
+	minSlow = -0.5
+	maxSlow = 1.6
+	// maxDev bounds the learned deviation.
+	maxDev = 0.8
 	// stuckBench is how long a stuck worker is set aside.
 	stuckBench = 5 * time.Second
 	// stuckEvery is the time between two looks at a worker.
 	stuckEvery = 150 * time.Millisecond
 )
 
-// expected gives how long a run should take, 0 if nothing is known.
-func (e *Engine) expected(r *run) time.Duration {
+// expected gives how long a run should take, 0 if nothing is known, and the
+// deviation of that as a log of a ratio.
+func (e *Engine) expected(r *run) (time.Duration, float64) {
 	st := &r.job.Steps[r.id.Step]
 	if st.Lasting || st.EstimateMs <= 0 {
-		return 0
+		return 0, 0
 	}
-	slow := e.queue(r.job.Queue).ratio
+	q := e.queue(r.job.Queue)
+	slow := q.ratio
 	if r.w.samples >= tooSlowSamples {
 		slow += r.w.slow
 	}
-	return time.Duration(float64(st.EstimateMs) * math.Exp(max(slow, -0.5)) * float64(time.Millisecond))
+	slow = max(minSlow, min(maxSlow, slow))
+	return time.Duration(float64(st.EstimateMs) * math.Exp(slow) * float64(time.Millisecond)), min(q.dev, maxDev)
+}
+
+// times gives d times e to the power of x.
+func times(d time.Duration, x float64) time.Duration {
+	return time.Duration(float64(d) * math.Exp(x))
 }
 
 // lookStuck stops tasks that stand still on a worker, so that they run elsewhere.
@@ -44,16 +63,16 @@
 	jobs := map[*job]bool{}
 	var overdue []*run
 	for _, r := range w.list() {
-		want := e.expected(r)
+		want, dev := e.expected(r)
 		if want == 0 || !r.confirmed || r.stopping != "" {
 			continue
 		}
 		age := now.Sub(r.startedAt)
-		if age > lostFactor*want+lostSlack {
+		if age > times(want, min(lostMost, lostBase+lostDev*dev))+lostSlack {
 			e.stop(now, r, "it takes far longer than expected")
 			continue
 		}
-		if age > time.Duration(overdueFactor*float64(want))+overdueSlack && w.lastDone.Before(r.startedAt) {
+		if age > times(want, overdueBase+overdueDev*dev)+overdueSlack && w.lastDone.Before(r.startedAt) {
 			overdue = append(overdue, r)
 			jobs[r.job] = true
 		}
