--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -112,7 +112,7 @@
 		Instance: set.Instance, Life: hex.EncodeToString(life), Domain: set.Domain, Addr: set.Peers, Params: set.Params,
 		Log: store.Ledger(), Config: store.Orders(), DecodeConfig: platform.DecodeConfig, Workers: workers.Calls(),
 		Advisers: core.Advisers{Own: placement.Advise, Peer: peers.Advise},
-		Peers:    core.Peers{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status},
+		Peers:    core.Peers{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Ready: peers.Ready},
 		Now:      time.Now, Uptime: uptime, Logger: logger, Meter: s.meter,
 	})
 	return s, nil
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,6 +72,7 @@
 	ready  atomic.Bool // the ledger has been read to its end once
 	leads  atomic.Bool
 	advise adviseQueue
+	probes sync.Map // by peer's address: the newest answer whether it is ready
 	peers  atomic.Pointer[map[string]instance]
 
 	events chan func(now time.Time) // run by the loop, in order
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -117,11 +117,11 @@
 	switch {
 	case c.lead.term == 0:
 		wait = startSilence
-	case c.lead.owner.Resigned:
+	case c.lead.owner.Resigned || c.ownerGone():
 		wait = 0
 	}
 	since := c.lead.heardAt
-	if c.lead.okSince.After(since) && !c.lead.owner.Resigned {
+	if c.lead.okSince.After(since) && wait > 0 {
 		since = c.lead.okSince
 	}
 	if now.Sub(since) < wait+c.rank()*rankStep || now.Sub(c.lead.caughtUp) > silence {
@@ -130,6 +130,17 @@
 	c.bid(now)
 }
 
+// ownerGone reports whether the process that made the newest claim has ended: its
+// instance has registered another one since.
+func (c *Core) ownerGone() bool {
+	o := c.lead.owner
+	m, ok := c.members[o.Instance]
+	if o.Instance == c.set.Instance {
+		return o.Life != c.set.Life
+	}
+	return ok && m.Life != o.Life
+}
+
 // rank spreads the instances' bids over time, anew for each term.
 func (c *Core) rank() time.Duration {
 	h := fnv.New32a()
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -15,12 +15,19 @@
 	Submit func(ctx context.Context, addr string, s *flow.Spec) error
 	Cancel func(ctx context.Context, addr, id string) error
 	Status func(ctx context.Context, addr, id string) (flow.Status, error)
+	// Ready asks whether the instance can store calls now.
+	Ready func(ctx context.Context, addr string) bool
 }
 
 // Bounds of handing calls over to peers.
 const (
 	maxHandovers    = 2 // peers that one call is handed to, one after another
 	handoverTimeout = 900 * time.Millisecond
+	// probeTimeout bounds the question whether a peer can take a call: one that is
+	// cut off must not leave a caller with an unknown outcome.
+	probeTimeout = 150 * time.Millisecond
+	// probeHolds is how long an answer to it counts.
+	probeHolds = 300 * time.Millisecond
 )
 
 // SubmitAnywhere submits a job here or, if this instance can't store it, through
@@ -68,6 +75,9 @@
 		return err
 	}
 	for _, p := range c.handoverPeers() {
+		if !c.peerReady(ctx, p) {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 		err = call(ctx, p)
 		cancel()
@@ -79,6 +89,23 @@
 	return err
 }
 
+// peerReady reports whether a peer has lately said that it can take calls.
+func (c *Core) peerReady(ctx context.Context, addr string) bool {
+	type probe struct {
+		at    time.Time
+		ready bool
+	}
+	now := c.set.Now()
+	if v, ok := c.probes.Load(addr); ok && now.Sub(v.(probe).at) < probeHolds {
+		return v.(probe).ready
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	ready := c.set.Peers.Ready(ctx, addr)
+	c.probes.Store(addr, probe{at: c.set.Now(), ready: ready})
+	return ready
+}
+
 // handoverPeers gives addresses of peers, those of other failure domains first:
 // what cut this instance off may have cut off its neighbours.
 func (c *Core) handoverPeers() []string {
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -62,6 +62,11 @@
 	return outcome(st, err), nil
 }
 
+// Ready tells a peer whether this instance can store calls.
+func (s *Server) Ready(context.Context, *cellpb.ReadyRequest) (*cellpb.ReadyReply, error) {
+	return &cellpb.ReadyReply{Ready: s.Core.Ready()}, nil
+}
+
 func outcome(st flow.Status, err error) *cellpb.Outcome {
 	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State)}
 	switch {
@@ -133,6 +138,12 @@
 	return st, errs.At("ask for a job's state", addr, err)
 }
 
+// Ready asks the instance at addr whether it can store calls; no answer means no.
+func (c *Client) Ready(ctx context.Context, addr string) bool {
+	r, err := c.peer(addr).Ready(ctx, &cellpb.ReadyRequest{})
+	return err == nil && r.Ready
+}
+
 // result gives the outcome as the error that core would give; a call without an
 // answer may have been carried out, unless no connection came about.
 func result(o *cellpb.Outcome, err error) (flow.Status, error) {
