coordination/core: keep cancels that are read before their jobs; be ready again

An instance whose last append had failed stayed unready, as nobody called it any more (duties missed).

--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -32,7 +32,7 @@
 
 // Ready reports whether this instance can serve callers.
 func (c *Core) Ready() bool {
-	return c.config.Load() != nil && c.ready.Load() && c.intake.Healthy()
+	return c.config.Load() != nil && c.ready.Load() && c.reads.Load() && c.intake.Healthy()
 }
 
 // Leads reports whether this instance leads.
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -71,6 +71,7 @@
 	config atomic.Pointer[flow.Config]
 	ready  atomic.Bool // the ledger has been read to its end once
 	leads  atomic.Bool
+	reads  atomic.Bool // the newest read of the ledger went well
 	advise adviseQueue
 	probes sync.Map // by peer's address: the newest answer whether it is ready
 	peers  atomic.Pointer[map[string]instance]
@@ -81,7 +82,8 @@
 	// What follows belongs to the loop.
 	jobs     map[string]*flow.Job
 	members  map[string]instance
-	settled  int64 // the state is whole once the ledger has been read to here
+	cancels  map[string]bool // jobs cancelled whose spec has not been read yet
+	settled  int64           // the state is whole once the ledger has been read to here
 	next     int64
 	lead     leadership
 	engine   *sched.Engine
@@ -99,7 +101,7 @@
 func New(set Settings) *Core {
 	c := &Core{
 		set: set, index: flow.NewIndex(), events: make(chan func(time.Time), 1024), done: make(chan struct{}),
-		jobs: map[string]*flow.Job{}, members: map[string]instance{}, settled: -1, calls: conc.NewWaitGroup(),
+		jobs: map[string]*flow.Job{}, members: map[string]instance{}, cancels: map[string]bool{}, settled: -1, calls: conc.NewWaitGroup(),
 	}
 	c.lead.heardAt = set.Now()
 	c.intake = intake.New(intake.Settings{
--- a/internal/coordination/core/follow.go
+++ b/internal/coordination/core/follow.go
@@ -18,6 +18,7 @@
 	c.readOK(now)
 	if b.Reset {
 		c.settled = b.Settled
+		clear(c.cancels)
 		c.set.Logger.Info().Int("records", len(b.Records)).Int64("next", b.Next).Msg("ledger: read from the newest records")
 	}
 	for _, r := range b.Records {
@@ -70,9 +71,17 @@
 	if err != nil {
 		return err
 	}
-	j := &flow.Job{Spec: spec}
+	j := &flow.Job{Spec: spec, Canceled: c.cancels[id]}
+	delete(c.cancels, id)
 	c.jobs[id] = j
-	c.index.Add(id, flow.Status{Queue: spec.Queue})
+	st := flow.Status{Queue: spec.Queue}
+	if j.Canceled {
+		st.State = flow.Canceled
+	}
+	c.index.Add(id, st)
+	if j.Canceled {
+		c.index.Put(id, st)
+	}
 	if c.engine != nil {
 		c.engine.AddJob(now, j)
 	}
@@ -106,7 +115,12 @@
 
 func (c *Core) applyCancel(now time.Time, id string, value []byte) {
 	j := c.jobs[id]
-	if j == nil || j.Canceled || len(value) == 0 {
+	if len(value) == 0 || (j != nil && j.Canceled) {
+		return
+	}
+	if j == nil {
+		// The newest records come in the order of their keys, this one before its job's.
+		c.cancels[id] = true
 		return
 	}
 	j.Canceled = true
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -56,6 +56,7 @@
 		c.set.Logger.Warn().Err(err).Msg("ledger: records have expired; reading anew")
 		return
 	}
+	c.reads.Store(false)
 	if !c.lead.failing {
 		c.lead.failing = true
 		c.set.Logger.Warn().Err(err).Msg("ledger: can't be read")
@@ -64,6 +65,7 @@
 }
 
 func (c *Core) readOK(now time.Time) {
+	c.reads.Store(true)
 	if c.lead.failing {
 		c.lead.failing = false
 		c.set.Logger.Info().Msg("ledger: can be read again")
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -16,6 +16,9 @@
 	// stuckAfter is how long an append may be without an answer before further
 	// calls are refused instead of queued.
 	stuckAfter = 600 * time.Millisecond
+	// badTime is how long a failed append counts against the store: without calls
+	// nothing would show that it is well again.
+	badTime    = time.Second
 	maxWaiting = 2000    // calls
 	maxBytes   = 1 << 20 // of one append; the store takes 2 MiB
 )
@@ -79,11 +82,11 @@
 	}
 }
 
-// Healthy reports whether the store took the newest append in good time.
+// Healthy reports whether the store seems to take appends in good time.
 func (n *Intake) Healthy() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.stuck() && !n.lastBad.After(n.lastGood)
+	return !n.stuck() && (!n.lastBad.After(n.lastGood) || n.set.Now().Sub(n.lastBad) > badTime)
 }
 
 func (n *Intake) stuck() bool {
