coordination/core: append and read more often under load

Cause: a quote has some 250 ms beyond its stretched run time; waiting for the next append and for a follower's next read took 100 of them at the median.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -126,7 +126,7 @@
 	// leaderPace and followerPace are the shortest times between two reads: each
 	// call has a price, and callers of followers may be told of an end a little later.
 	leaderPace   = 24 * time.Millisecond
-	followerPace = 150 * time.Millisecond
+	followerPace = 80 * time.Millisecond
 )
 
 func (c *Core) pace() time.Duration {
--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -19,7 +19,7 @@
 	decideEvery = 8 * time.Millisecond
 	// appendEvery is the shortest time between two appends, each of which has a
 	// price and takes some 7 ms.
-	appendEvery = 20 * time.Millisecond
+	appendEvery = 10 * time.Millisecond
 	listEvery   = 500 * time.Millisecond
 	listTimeout = 1500 * time.Millisecond
 	// Time-outs of calls to workers beyond their own waiting.
