transport/flows: the product's own interface to jobs of steps; standin/wire: the platform's protocol for tests

Whole instances run over HTTP against stand-ins for store, workers and placement service, from a caller's request to the shown end; bad input is answered 400 with field, value and what is allowed.

--- /dev/null
+++ b/internal/command/oper/flow.go
@@ -0,0 +1,89 @@
+package oper
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/transport/flows"
+)
+
+// flowUsage lists what the flow command does.
+const flowUsage = "flow takes one of: submit (a job as JSON on standard input), show ID, cancel ID, pending QUEUE, site"
+
+// runFlow works with jobs of steps at an instance that was started by site.
+func runFlow(ctx context.Context, args []string, sio IO) error {
+	c := &call{io: sio}
+	f := newFlags("flow", "work with jobs of steps; "+flowUsage, sio)
+	bindCall(f, c)
+	if err := parse(f, args, sio); err != nil {
+		return err
+	}
+	verb, name := f.Arg(0), f.Arg(1)
+	needs := verb == "show" || verb == "cancel" || verb == "pending"
+	if needs != (name != "") || f.NArg() > 2 {
+		return usageError(errors.New(flowUsage))
+	}
+	switch verb {
+	case "submit":
+		return flowSubmit(ctx, c)
+	case "show":
+		return flowJob(ctx, c, http.MethodGet, name)
+	case "cancel":
+		return flowJob(ctx, c, http.MethodDelete, name)
+	case "pending":
+		var v flows.QueueView
+		printed, err := c.do(ctx, http.MethodGet, "/queues/"+url.PathEscape(name), nil, &v)
+		if err != nil || printed {
+			return err
+		}
+		fmt.Fprintf(sio.Out, "%d jobs of %s wait for their first start\n", v.Pending, v.Queue)
+		return nil
+	case "site":
+		var v flows.SiteView
+		printed, err := c.do(ctx, http.MethodGet, "/site", nil, &v)
+		if err != nil || printed {
+			return err
+		}
+		fmt.Fprintf(sio.Out, "configuration %d with %d queues; ready %t, leads %t\n", v.Version, len(v.Queues), v.Ready, v.Leads)
+		return nil
+	}
+	return usageError(errors.New(flowUsage))
+}
+
+func flowSubmit(ctx context.Context, c *call) error {
+	body, err := io.ReadAll(io.LimitReader(c.io.In, maxReplyBytes))
+	if err != nil {
+		return errors.Wrap(err, "read the job")
+	}
+	spec := &flow.Spec{}
+	if err := json.Unmarshal(body, spec); err != nil {
+		return usageError(errors.Wrap(err, "the job is not JSON of its form"))
+	}
+	if err := spec.Check(); err != nil {
+		return usageError(err)
+	}
+	var v flows.JobView
+	printed, err := c.do(ctx, http.MethodPost, "/flows", spec, &v)
+	if err != nil || printed {
+		return err
+	}
+	fmt.Fprintf(c.io.Out, "accepted: job %s is %s\n", v.ID, v.State)
+	return nil
+}
+
+func flowJob(ctx context.Context, c *call, method, id string) error {
+	var v flows.JobView
+	printed, err := c.do(ctx, method, "/flows/"+url.PathEscape(id), nil, &v)
+	if err != nil || printed {
+		return err
+	}
+	fmt.Fprintf(c.io.Out, "job %s of %s is %s\n", v.ID, v.Queue, v.State)
+	return nil
+}
--- a/internal/command/oper/root.go
+++ b/internal/command/oper/root.go
@@ -46,6 +46,7 @@
 	return []command{
 		{"serve", "run an entry instance", runServe},
 		{"site", "run an instance on the users' platform", runSite},
+		{"flow", "work with jobs of steps: submit, show, cancel, pending, site", runFlow},
 		{"patch", "submit a patch against a numbered version of the configuration", runPatch},
 		{"config", "show a version, the history, or what changed between two versions", runConfig},
 		{"submit", "submit a batch or gang job", runSubmit},
--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -23,6 +23,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/protocol/cell"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
+	"github.com/tamaracklink/tamaracklink/internal/transport/flows"
 	"github.com/tamaracklink/tamaracklink/platform"
 )
 
@@ -135,7 +136,7 @@
 	}{
 		{"callers", s.set.Callers, s.closing(front)},
 		{"readiness", s.set.Readiness, http.HandlerFunc(s.readyz)},
-		{"peers", s.set.Peers, (&cell.Server{Core: s.core}).Handler()},
+		{"peers and operators", s.set.Peers, s.peers()},
 		{"metrics", s.set.Metrics, s.metrics()},
 	}
 	parts := conc.NewWaitGroup()
@@ -227,6 +228,14 @@
 	}
 }
 
+// peers serves other instances and the product's own interface.
+func (s *site) peers() http.Handler {
+	m := httprouter.New()
+	m.Handler(http.MethodPost, cell.Prefix+"*call", (&cell.Server{Core: s.core}).Handler())
+	(&flows.Server{Core: s.core, Now: time.Now}).Register(m)
+	return m
+}
+
 func (s *site) metrics() http.Handler {
 	m := httprouter.New()
 	m.GET("/metrics", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) { s.meter.Write(w) })
--- /dev/null
+++ b/internal/command/oper/site_test.go
@@ -0,0 +1,256 @@
+package oper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/standin/fleet"
+	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+	"github.com/tamaracklink/tamaracklink/internal/standin/wire"
+	"github.com/tamaracklink/tamaracklink/internal/state/sched"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
+
+const siteConfig = `{"version":7,"routes":[
+ {"name":"r-quick","host":"a.example","path_prefix":"/q/","timeout_ms":3000,"target_latency_ms":250,"priority":0,"service":"svc","max_attempts":3,"stretch":1.5,"advice":{"decide_ms":1,"each_ms":0.1,"valid_ms":1500}},
+ {"name":"r-plain","host":"a.example","path_prefix":"/p/","timeout_ms":3000,"target_latency_ms":1000,"priority":1,"service":"svc","max_attempts":3,"stretch":2}],
+ "services":[{"name":"svc","admission_check":false}],"limits":{"max_body_bytes":4096}}`
+
+// freePort gives the first of two neighbouring ports that are free now.
+func freePort(t *testing.T) int {
+	t.Helper()
+	for range 50 {
+		a, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := a.Addr().(*net.TCPAddr).Port
+		b, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
+		_ = a.Close()
+		if err == nil {
+			_ = b.Close()
+			return port
+		}
+	}
+	t.Fatal("no two neighbouring free ports")
+	return 0
+}
+
+// plantFor serves the stand-ins over HTTP and gives the store's address.
+func plantFor(t *testing.T, lookup func(sched.TaskID) (fleet.Spec, bool)) (*wire.Plant, string) {
+	t.Helper()
+	p := &wire.Plant{
+		Topics:  map[string]*store.Store{"keyed.tamaracklink": store.New(1), "keyed.op": store.New(2), "keyed.servers": store.New(3)},
+		Fleet:   fleet.New(4, work.Size{CPU: 16000, Memory: 64000}, "svc", 6*time.Second, lookup),
+		Service: "svc", TicketFor: 1500 * time.Millisecond,
+	}
+	ctx := context.Background()
+	put := func(topic string, r ledger.Record, seq int64) {
+		if _, err := p.Topics[topic].Log("x").Append(ctx, ledger.Producer{Name: "x", Epoch: 1}, seq, []ledger.Record{r}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put("keyed.op", ledger.Record{Key: "config", Value: []byte(siteConfig)}, 1)
+	list, err := p.Fleet.Calls("x").List(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, in := range list {
+		srv := httptest.NewServer(p.Worker(in.ID))
+		t.Cleanup(srv.Close)
+		put("keyed.servers", p.Entry(in, strings.TrimPrefix(srv.URL, "http://")), int64(i+1))
+	}
+	put("keyed.servers", ledger.Record{Key: "odd", Value: []byte(`{"service":7}`)}, int64(len(list)+1))
+	srv := httptest.NewServer(p.Handler())
+	t.Cleanup(srv.Close)
+	return p, strings.TrimPrefix(srv.URL, "http://")
+}
+
+type instanceUnderTest struct {
+	front, peers string
+	stop         context.CancelFunc
+	done         chan error
+	log          *bytes.Buffer
+	mu           *sync.Mutex
+}
+
+func (i *instanceUnderTest) Write(b []byte) (int, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.log.Write(b)
+}
+
+func startSite(t *testing.T, name, plant string) *instanceUnderTest {
+	t.Helper()
+	front, ports := freePort(t), freePort(t)
+	file := filepath.Join(t.TempDir(), "boot.toml")
+	text := fmt.Sprintf(`node_name = %q
+zone = "z"
+ip = "127.0.0.1"
+port_range = [%d,%d]
+heartbeat_ms = 1500
+advice = %q
+later_field = "ignored"
+[listen]
+front = "127.0.0.1:%d"
+ready_addr = "127.0.0.1:%d"
+[bounds]
+hold_max_ms = 6000
+gang_wait_ms = 3000
+status_s = 120
+grace_s = 1
+contact_ms = 3000
+[platform]
+address = %q
+`, name, ports, ports+1, plant, front, front+1, plant)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	i := &instanceUnderTest{
+		front: fmt.Sprintf("127.0.0.1:%d", front), peers: fmt.Sprintf("127.0.0.1:%d", ports),
+		stop: stop, done: make(chan error, 1), log: &bytes.Buffer{}, mu: &sync.Mutex{},
+	}
+	sio := IO{In: strings.NewReader(""), Out: i, Err: i, Env: []string{"TAMARACKLINK_NODE_FILE=" + file}}
+	go func() { i.done <- runSite(ctx, nil, sio) }()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case <-i.done:
+		case <-time.After(20 * time.Second):
+			t.Error("the instance does not stop")
+		}
+	})
+	return i
+}
+
+func (i *instanceUnderTest) call(t *testing.T, method, host, path, body string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+i.front+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = host
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(b)
+}
+
+// eventually polls until the call gives the status and body.
+func (i *instanceUnderTest) eventually(t *testing.T, path string, status int, body string) {
+	t.Helper()
+	var gotStatus int
+	var got string
+	for range 300 {
+		if gotStatus, got = i.call(t, http.MethodGet, "a.example", path, ""); gotStatus == status && got == body {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("GET %s gives %d %s, not %d %s", path, gotStatus, got, status, body)
+}
+
+// TestSite runs instances against the platform's protocol on loopback, from a
+// caller's request to the shown end.
+func TestSite(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs in real time")
+	}
+	is := is.New(t)
+	p, addr := plantFor(t, func(sched.TaskID) (fleet.Spec, bool) {
+		return fleet.Spec{Size: work.Size{CPU: 1000, Memory: 100}, Takes: 50 * time.Millisecond}, true
+	})
+	a, b := startSite(t, "a", addr), startSite(t, "b", addr)
+	a.eventually(t, "/q/", 200, `{"pending":0}`)
+	b.eventually(t, "/q/", 200, `{"pending":0}`)
+	const id = "5c0e7a21d94b36f8"
+	body := `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":50},{"count":1,"cpu":1000,"mem_mb":100,"estimate_ms":50,"depends_on":[0]}]}`
+	for range 100 { // until the instance is ready to store
+		if status, _ := a.call(t, http.MethodPost, "a.example", "/q/"+id, body); status == 200 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.eventually(t, "/q/"+id, 200, `{"state":"complete"}`)
+	a.eventually(t, "/q/"+id, 200, `{"state":"complete"}`)
+
+	tests := []struct {
+		method, host, path, body string
+		status                   int
+	}{
+		{"GET", "a.example", "/q/0000000000000000", "", 410},
+		{"DELETE", "a.example", "/q/0000000000000000", "", 410},
+		{"GET", "b.example", "/q/" + id, "", 404},
+		{"GET", "a.example", "/z/" + id, "", 404},
+		{"GET", "a.example", "/q/short", "", 404},
+		{"POST", "a.example", "/p/00000000000000aa", "{", 400},
+		{"POST", "a.example", "/p/00000000000000aa", `{"steps":[]}`, 400},
+		{"POST", "a.example", "/p/00000000000000aa", `{"steps":[{"count":0}]}`, 400},
+		{"POST", "a.example", "/p/00000000000000aa", `{"steps":[{"count":1,"depends_on":[0]}]}`, 400},
+		{"POST", "a.example", "/p/00000000000000aa", strings.Repeat(" ", 5000), 413},
+		{"POST", "a.example", "/q/" + id, body, 200}, // again
+		{"POST", "a.example", "/p/00000000000000ab", `{"spec":"y","times":3,"first_run_ms":99999999999999,"interval_ms":5,"steps":[{"count":1,"cpu":1}]}`, 200},
+		{"DELETE", "a.example", "/p/00000000000000ab", "", 200},
+		{"PUT", "a.example", "/q/" + id, "", 405},
+	}
+	for _, tt := range tests {
+		if status, got := a.call(t, tt.method, tt.host, tt.path, tt.body); status != tt.status {
+			t.Errorf("%s %s %s: %d %s, not %d", tt.method, tt.host, tt.path, status, got, tt.status)
+		}
+	}
+	b.eventually(t, "/p/00000000000000ab", 200, `{"state":"canceled"}`)
+	is.Equal(p.Fleet.Broken(), nil)
+	is.Equal(p.Fleet.Starts(), 4)
+	checkFlowCommands(t, a.peers)
+}
+
+// checkFlowCommands uses the product's own interface at the same instance.
+func checkFlowCommands(t *testing.T, addr string) {
+	t.Helper()
+	spec := `{"id":"own1","queue":"r-plain","policy":{"service":"","priority":0,"max-attempts":0,"advice":{}},"steps":[{"count":2,"size":{"cpu-milli":500,"memory-mib":50,"accelerators":0}}],"repeat":{},"accepted-ms":0}`
+	tests := []struct {
+		args []string
+		in   string
+		code int
+		want string
+	}{
+		{[]string{"flow", "-addr", addr, "site"}, "", ExitOK, "configuration 7 with 2 queues"},
+		{[]string{"flow", "-addr", addr, "submit"}, spec, ExitOK, "accepted: job own1 is queued"},
+		{[]string{"flow", "-addr", addr, "submit"}, strings.Replace(spec, "r-plain", "none", 1), ExitRefused, `allowed: a queue of the configuration`},
+		{[]string{"flow", "-addr", addr, "submit"}, strings.Replace(spec, `"count":2`, `"count":0`, 1), ExitUsage, "steps[0].count"},
+		{[]string{"flow", "-addr", addr, "show", "nobody"}, "", ExitRefused, "no-such-job"},
+		{[]string{"flow", "-addr", addr, "pending", "r-plain"}, "", ExitOK, "wait for their first start"},
+		{[]string{"flow", "-addr", addr, "pending", "none"}, "", ExitRefused, "no-such-queue"},
+		{[]string{"flow", "-addr", addr, "cancel", "own1"}, "", ExitOK, "job own1 of r-plain is"},
+		{[]string{"flow", "-addr", addr, "show"}, "", ExitUsage, "flow takes one of"},
+		{[]string{"flow", "-addr", addr}, "", ExitUsage, "flow takes one of"},
+	}
+	for _, tt := range tests {
+		out := &bytes.Buffer{}
+		code := Main(tt.args, IO{In: strings.NewReader(tt.in), Out: out, Err: out})
+		if code != tt.code || !strings.Contains(out.String(), tt.want) {
+			t.Errorf("%v: code %d, output %s; want %d and %q", tt.args, code, out, tt.code, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/wire/wire.go
@@ -0,0 +1,264 @@
+package wire
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/standin/fleet"
+	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+	"github.com/tamaracklink/tamaracklink/internal/state/sched"
+)
+
+// Plant is a platform in one process: a store for each topic, a fleet, and a
+// placement service that allows every worker.
+type Plant struct {
+	Topics map[string]*store.Store
+	Fleet  *fleet.Fleet
+	// Service is what the workers belong to.
+	Service string
+	// TicketFor is how long the placement service's tickets hold.
+	TicketFor time.Duration
+}
+
+// wireClient is the name under which all callers reach the stand-ins.
+const wireClient = "wire"
+
+// Handler serves store, workers and placement service at one address; the
+// workers are told apart by the path's first part.
+func (p *Plant) Handler() http.Handler {
+	m := httprouter.New()
+	m.POST("/log-append", p.logAppend)
+	m.GET("/log-read", p.logRead)
+	m.GET("/log-newest", p.logNewest)
+	m.POST("/advise", p.advise)
+	return m
+}
+
+func (p *Plant) topic(r *http.Request) ledger.Log {
+	s := p.Topics[r.URL.Query().Get("topic")]
+	if s == nil {
+		s = store.New(1)
+	}
+	return s.Log(wireClient)
+}
+
+func number(r *http.Request, name string) int64 {
+	n, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // a caller that has left is told by its own side
+}
+
+// DecodeRecords reads length, key length, key and value of each record.
+func DecodeRecords(b []byte) ([]ledger.Record, error) {
+	var out []ledger.Record
+	for len(b) > 0 {
+		if len(b) < 5 || int(binary.BigEndian.Uint32(b)) > len(b)-4 {
+			return nil, errors.New("a record is cut short")
+		}
+		n := int(binary.BigEndian.Uint32(b))
+		body := b[4 : 4+n]
+		k := int(body[0])
+		if k >= n {
+			return nil, errors.New("a key is cut short")
+		}
+		out = append(out, ledger.Record{Key: string(body[1 : 1+k]), Value: append([]byte(nil), body[1+k:]...)})
+		b = b[4+n:]
+	}
+	return out, nil
+}
+
+func (p *Plant) logAppend(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	records, err := DecodeRecords(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	who := ledger.Producer{Name: r.URL.Query().Get("producer"), Epoch: number(r, "epoch")}
+	end, err := p.topic(r).Append(r.Context(), who, number(r, "seq"), records)
+	var fenced *ledger.FencedError
+	var seq *ledger.SequenceError
+	var refused *ledger.RefusedError
+	switch {
+	case err == nil:
+		reply(w, http.StatusOK, map[string]int64{"offset": end - int64(len(records)), "end": end})
+	case errors.As(err, &fenced):
+		reply(w, http.StatusConflict, map[string]any{"reason": "fenced", "epoch": fenced.Epoch})
+	case errors.As(err, &seq):
+		reply(w, http.StatusConflict, map[string]any{"reason": "seq", "seq": seq.Expected})
+	case errors.As(err, &refused):
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		panic(http.ErrAbortHandler) // no answer
+	}
+}
+
+func (p *Plant) logRead(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	page, err := p.topic(r).Read(r.Context(), number(r, "from"), time.Duration(number(r, "wait_ms"))*time.Millisecond)
+	var expired *ledger.ExpiredError
+	switch {
+	case errors.As(err, &expired):
+		reply(w, http.StatusGone, map[string]int64{"first": expired.First})
+		return
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	}
+	b := binary.BigEndian.AppendUint64(nil, uint64(page.End))
+	b = binary.BigEndian.AppendUint64(b, 0)
+	for _, x := range page.Records {
+		b = binary.BigEndian.AppendUint32(b, uint32(1+len(x.Key)+len(x.Value)))
+		b = append(append(append(b, byte(len(x.Key))), x.Key...), x.Value...)
+	}
+	_, _ = w.Write(b)
+}
+
+func (p *Plant) logNewest(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	page, err := p.topic(r).Newest(r.Context(), r.URL.Query().Get("depends_on"))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	type item struct {
+		Key    string `json:"key"`
+		Value  []byte `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	items := []item{}
+	for _, x := range page.Records {
+		items = append(items, item{Key: x.Key, Value: x.Value})
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items, "more": page.More, "end": page.End})
+}
+
+func (p *Plant) advise(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var q struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	good := [][]string{}
+	for _, id := range q.Workers {
+		good = append(good, []string{id, "t-" + id})
+	}
+	reply(w, http.StatusOK, map[string]any{"good": good, "valid_ms": p.TicketFor.Milliseconds()})
+}
+
+// Worker serves one worker's calls.
+func (p *Plant) Worker(id string) http.Handler {
+	calls := p.Fleet.Calls(wireClient)
+	m := httprouter.New()
+	m.POST("/run-start", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		o, term, ok := readOrder(w, r, id)
+		if ok {
+			answer(w, calls.Start(r.Context(), o, term))
+		}
+	})
+	m.POST("/run-stop", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		o, term, ok := readOrder(w, r, id)
+		if ok {
+			answer(w, calls.Stop(r.Context(), o, term))
+		}
+	})
+	m.POST("/hold", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		o, term, ok := readOrder(w, r, id)
+		if !ok {
+			return
+		}
+		rep, a := calls.Hold(r.Context(), o, term)
+		if a != sched.AnswerOK {
+			answer(w, a)
+			return
+		}
+		reply(w, http.StatusOK, reportDoc(rep))
+	})
+	return m
+}
+
+func readOrder(w http.ResponseWriter, r *http.Request, id string) (sched.Order, int64, bool) {
+	var b struct {
+		Task         string `json:"task"`
+		Run          int    `json:"run"`
+		UntilMs      int64  `json:"until_ms"`
+		FencingToken int64  `json:"fencing_token"`
+		LastSeen     int64  `json:"last_seen"`
+		WaitMs       int64  `json:"wait_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return sched.Order{}, 0, false
+	}
+	if want := r.Header.Get("X-Expect-Instance"); want != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return sched.Order{}, 0, false
+	}
+	o := sched.Order{Worker: id, Run: b.Run, Until: b.UntilMs, Acked: b.LastSeen, Wait: time.Duration(b.WaitMs) * time.Millisecond}
+	if b.Task != "" {
+		t, err := sched.ParseTaskID(b.Task)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return sched.Order{}, 0, false
+		}
+		o.Task = t
+	}
+	return o, b.FencingToken, true
+}
+
+func answer(w http.ResponseWriter, a sched.Answer) {
+	switch a {
+	case sched.AnswerOK:
+		reply(w, http.StatusOK, map[string]int{"clock_ms": 0})
+	case sched.AnswerFenced:
+		reply(w, http.StatusConflict, map[string]string{"reason": "fence"})
+	case sched.AnswerOld:
+		reply(w, http.StatusConflict, map[string]string{"reason": "old"})
+	case sched.AnswerNone:
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func reportDoc(rep sched.Report) any {
+	running, finished := [][]any{}, [][]any{}
+	for _, x := range rep.Running {
+		running = append(running, []any{x.Task.String(), x.Run, x.Saved, 50, 0})
+	}
+	for _, x := range rep.Ended {
+		finished = append(finished, []any{x.Number, x.Task.String(), x.Run, x.Kind.String(), x.Saved})
+	}
+	return map[string]any{"born": rep.Boot, "clock_ms": rep.Clock.Milliseconds(), "running": running, "finished": finished}
+}
+
+// Entry gives the record that a worker writes of itself.
+func (p *Plant) Entry(in sched.WorkerInfo, addr string) ledger.Record {
+	doc := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","labels":["a",%q],"born":%d,"capacity":{"cpu":%d,"mem_mb":%d,"gpu":0}}`,
+		p.Service, addr, in.Rack, in.Boot, in.Capacity.CPU, in.Capacity.Memory)
+	return ledger.Record{Key: in.ID, Value: []byte(strings.TrimSpace(doc))}
+}
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -73,6 +73,7 @@
 	starts      []*run // recorded in the batch to come, not yet ordered
 	acks        map[*worker]ack
 	tickAt      time.Time
+	expireAt    time.Time
 	held        []held // room kept for steps that wait
 }
 
@@ -234,13 +235,17 @@
 	}
 }
 
+// expireEvery is the time between two looks for jobs to forget.
+const expireEvery = time.Second
+
 // dropSlack is added to the time for which ended jobs are told, for clocks that differ.
 const dropSlack = 30 * time.Second
 
 func (e *Engine) expire(now time.Time) {
-	if len(e.jobs) == 0 || len(e.drops) > 0 {
+	if now.Before(e.expireAt) || len(e.drops) > 0 {
 		return
 	}
+	e.expireAt = now.Add(expireEvery)
 	limit := now.Add(-e.p.KeepFor - dropSlack).UnixMilli()
 	for id, j := range e.jobs {
 		if j.State.Final() && j.runs == 0 && j.EndedMs < limit && !e.dirty[j] {
