--- /dev/null
+++ b/internal/coordination/intake/intake_test.go
@@ -0,0 +1,116 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/intake"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+)
+
+func run(t *testing.T, body func(s *store.Store, n *intake.Intake)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(5)
+		n := intake.New(intake.Settings{Log: s.Log("a"), Name: "a", Now: time.Now, Unsure: func(error, int) {}})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			n.Run(ctx)
+		}()
+		body(s, n)
+		stop()
+		<-done
+		time.Sleep(time.Minute)
+	})
+}
+
+func put(n *intake.Intake, key string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	return n.Store(ctx, ledger.Record{Key: key, Value: []byte("v")})
+}
+
+// TestGroups checks that calls which arrive together share appends.
+func TestGroups(t *testing.T) {
+	run(t, func(s *store.Store, n *intake.Intake) {
+		is := is.New(t)
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				if err := put(n, fmt.Sprint(i), time.Second); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		is.True(s.Appends() <= 3)
+		is.True(n.Healthy())
+	})
+}
+
+// TestTruth checks under each trouble that a refused call is never stored and
+// that a stored answer is true.
+func TestTruth(t *testing.T) {
+	for _, trouble := range []store.Trouble{store.Silent, store.Busy, store.Lossy, store.Late} {
+		t.Run(fmt.Sprint(trouble), func(t *testing.T) {
+			run(t, func(s *store.Store, n *intake.Intake) {
+				got := map[string]error{}
+				var mu sync.Mutex
+				s.Set("a", trouble)
+				var wg sync.WaitGroup
+				for i := range 60 {
+					wg.Go(func() {
+						key := fmt.Sprint(i)
+						err := put(n, key, 800*time.Millisecond)
+						mu.Lock()
+						defer mu.Unlock()
+						got[key] = err
+					})
+					time.Sleep(50 * time.Millisecond)
+				}
+				wg.Wait()
+				s.Set("a", store.Fine)
+				time.Sleep(10 * time.Second)
+				for key, err := range got {
+					stored := s.Get(key) != nil
+					switch {
+					case err == nil && !stored:
+						t.Errorf("%s: said to be stored, is not", key)
+					case errors.Is(err, intake.ErrRefused) && stored:
+						t.Errorf("%s: said to be refused, is stored", key)
+					}
+				}
+				if err := put(n, "after", time.Second); err != nil {
+					t.Errorf("after the trouble: %v", err)
+				}
+				if !n.Healthy() {
+					t.Error("not healthy after the trouble")
+				}
+			})
+		})
+	}
+}
+
+// TestHealthyAgain checks that a failed append does not count for ever: an
+// instance that is not asked any more can't show that the store is well.
+func TestHealthyAgain(t *testing.T) {
+	run(t, func(s *store.Store, n *intake.Intake) {
+		is := is.New(t)
+		s.Set("a", store.Busy)
+		is.True(errors.Is(put(n, "x", time.Second), intake.ErrRefused))
+		is.True(!n.Healthy())
+		s.Set("a", store.Fine)
+		time.Sleep(1100 * time.Millisecond)
+		is.True(n.Healthy())
+	})
+}
--- /dev/null
+++ b/internal/state/flow/flow_test.go
@@ -0,0 +1,175 @@
+package flow
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+	"github.com/tamaracklink/tamaracklink/internal/testing/check"
+)
+
+func TestCheck(t *testing.T) {
+	good := func() *Spec {
+		return &Spec{ID: "a1", Queue: "q", Steps: []Step{{Count: 1}, {Count: 2, After: []int{0}}}}
+	}
+	tests := []struct {
+		name string
+		edit func(s *Spec)
+		want string // part of the error, empty for none
+	}{
+		{"good", func(*Spec) {}, ""},
+		{"no id", func(s *Spec) { s.ID = "" }, "id: allowed"},
+		{"odd id", func(s *Spec) { s.ID = "A.b" }, `id: value "A.b"`},
+		{"no steps", func(s *Spec) { s.Steps = nil }, `steps: value "0"`},
+		{"count 0", func(s *Spec) { s.Steps[1].Count = 0 }, "steps[1].count"},
+		{"too wide", func(s *Spec) { s.Steps[0].Count = MaxTasks + 1 }, "steps[0].count"},
+		{"negative size", func(s *Spec) { s.Steps[0].Size.CPU = -1 }, "steps[0].size"},
+		{"cycle", func(s *Spec) { s.Steps[0].After = []int{1} }, "steps[0].after"},
+		{"unknown step", func(s *Spec) { s.Steps[1].After = []int{7} }, "steps[1].after"},
+		{"long payload", func(s *Spec) { s.Payload = strings.Repeat("x", MaxPayloadBytes+1) }, "payload"},
+		{"negative repeat", func(s *Spec) { s.Repeat.EveryMs = -1 }, "repeat"},
+		{"two faults at once", func(s *Spec) { s.ID, s.Steps[1].Count = "", 0 }, "steps[1].count"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := good()
+			tt.edit(s)
+			err := s.Check()
+			if tt.want == "" {
+				if err != nil {
+					t.Fatalf("Check: %v", err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Fatalf("Check: %v; want %q in it", err, tt.want)
+			}
+		})
+	}
+}
+
+func drawProgress(t *rapid.T) Progress {
+	p := Progress{
+		State: State(rapid.IntRange(0, int(Canceled)).Draw(t, "state")), EndedMs: rapid.Int64().Draw(t, "ended"),
+		NextRound: rapid.IntRange(0, 1000).Draw(t, "next"),
+	}
+	names := rapid.SampledFrom([]string{"", "i-1", "i-22", "00000bb87a21d94b"})
+	for range rapid.IntRange(0, 3).Draw(t, "rounds") {
+		r := &Round{Number: rapid.IntRange(0, 100).Draw(t, "number")}
+		for range rapid.IntRange(0, 4).Draw(t, "steps") {
+			tasks := make([]Task, rapid.IntRange(0, 5).Draw(t, "tasks"))
+			for i := range tasks {
+				tasks[i] = Task{
+					Phase: Phase(rapid.IntRange(0, int(Done)).Draw(t, "phase")), Run: rapid.IntRange(0, 99).Draw(t, "run"),
+					Fails: rapid.IntRange(0, 9).Draw(t, "fails"), FailedRun: rapid.IntRange(0, 9).Draw(t, "failed"), Saved: names.Draw(t, "saved"),
+				}
+				if tasks[i].Phase == Placed {
+					tasks[i].Worker, tasks[i].Boot = names.Draw(t, "worker"), rapid.Int64().Draw(t, "boot")
+				}
+				if tasks[i].Phase != Done {
+					r.Open++
+				}
+			}
+			r.Steps = append(r.Steps, tasks)
+		}
+		p.Rounds = append(p.Rounds, r)
+	}
+	return p
+}
+
+func TestProgressRoundTrip(t *testing.T) {
+	check.FixSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawProgress(t)
+		got, err := DecodeProgress(EncodeProgress(nil, &p))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(got, p) {
+			t.Fatalf("got %+v, want %+v", got, p)
+		}
+	})
+}
+
+// TestProgressCut checks that a record cut anywhere is an error, not a panic.
+func TestProgressCut(t *testing.T) {
+	is := is.New(t)
+	p := Progress{State: Active, NextRound: 1, Rounds: []*Round{{Steps: [][]Task{{{Phase: Placed, Run: 2, Worker: "i-1", Boot: 5}, {Phase: Done}}}, Open: 1}}}
+	data := EncodeProgress(nil, &p)
+	for n := range data {
+		_, err := DecodeProgress(data[:n])
+		is.True(err != nil)
+	}
+}
+
+func FuzzDecodeProgress(f *testing.F) {
+	p := Progress{State: Active, Rounds: []*Round{NewRound(&Spec{Steps: []Step{{Count: 3}}}, 0)}}
+	f.Add(EncodeProgress(nil, &p))
+	f.Add([]byte{2, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := DecodeProgress(data)
+		if err != nil {
+			return
+		}
+		if _, err := DecodeProgress(EncodeProgress(nil, &p)); err != nil {
+			t.Fatalf("decoded progress does not survive: %v", err)
+		}
+	})
+}
+
+func FuzzDecodeSpec(f *testing.F) {
+	f.Add([]byte(`{"id":"a","steps":[{"count":1}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := DecodeSpec(data)
+		if err == nil && (len(s.Steps) == 0 || !ValidID(s.ID)) {
+			t.Fatalf("accepted %q", data)
+		}
+	})
+}
+
+func TestIndex(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex()
+	x.Add("a", Status{Queue: "q"})
+	x.Add("b", Status{Queue: "q"})
+	x.Add("a", Status{Queue: "q", State: Complete}) // known already
+	is.Equal(x.Pending("q"), 2)
+	x.Put("a", Status{Queue: "q", State: Active})
+	is.Equal(x.Pending("q"), 1)
+	x.Put("a", Status{Queue: "q", State: Complete})
+	x.Put("a", Status{Queue: "q", State: Active}) // an older record
+	st, ok := x.Get("a")
+	is.True(ok)
+	is.Equal(st.State, Complete)
+	x.Drop("b")
+	is.Equal(x.Pending("q"), 0)
+	_, ok = x.Get("b")
+	is.True(!ok)
+}
+
+func TestFind(t *testing.T) {
+	is := is.New(t)
+	c := &Config{Queues: []Queue{{Name: "a", Host: "h", Prefix: "/a/"}, {Name: "ab", Host: "h", Prefix: "/a/b/"}, {Name: "o", Host: "o", Prefix: "/a/"}}}
+	is.Equal(c.Find("h", "/a/x").Name, "a")
+	is.Equal(c.Find("h", "/a/b/x").Name, "ab")
+	is.Equal(c.Find("o", "/a/b/x").Name, "o")
+	is.Equal(c.Find("h", "/c/"), nil)
+	is.Equal(c.Queue("o").Host, "o")
+}
+
+func TestReady(t *testing.T) {
+	is := is.New(t)
+	s := &Spec{Steps: []Step{{Count: 2, Size: work.Size{CPU: 1}}, {Count: 1, After: []int{0}}}}
+	r := NewRound(s, 0)
+	is.True(r.Ready(s, 0))
+	is.True(!r.Ready(s, 1))
+	r.Steps[0][0].Phase, r.Steps[0][1].Phase = Done, Done
+	is.True(r.Ready(s, 1))
+	p := Progress{Rounds: []*Round{r}}
+	is.NoErr(p.Match(s))
+	is.True(p.Match(&Spec{Steps: s.Steps[:1]}) != nil)
+}
