--- a/internal/coordination/core/advise_test.go
+++ b/internal/coordination/core/advise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,14 +21,15 @@
 			is.True(q.enter(ctx, false))
 		}
 		var order []string
+		var wg sync.WaitGroup
 		wait := func(ctx context.Context, name string, quick bool) {
-			go func() {
+			wg.Go(func() {
 				if q.enter(ctx, quick) {
 					order = append(order, name)
 					time.Sleep(time.Second)
 					q.leave()
 				}
-			}()
+			})
 			synctest.Wait()
 		}
 		short, cancel := context.WithTimeout(ctx, time.Millisecond)
@@ -39,6 +41,7 @@
 		time.Sleep(10 * time.Millisecond)
 		q.leave()
 		time.Sleep(10 * time.Second)
+		wg.Wait()
 		is.Equal(order, []string{"quick", "long 1", "long 2"})
 		q.leave()
 		is.Equal(q.active, 0)
--- a/internal/coordination/core/core_test.go
+++ b/internal/coordination/core/core_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,10 +37,29 @@
 	store *store.Store
 	fleet *fleet.Fleet
 	conf  *flow.Config
+
+	mu    sync.Mutex
 	nodes map[string]*node
 	specs map[string]*flow.Spec
 }
 
+// at gives an instance's core, nil if its process is gone.
+func (s *site) at(name string) *core.Core {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.nodes[name]; n != nil {
+		return n.core
+	}
+	return nil
+}
+
+// names gives the instances that run.
+func (s *site) names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.nodes))
+}
+
 // node is one instance's process.
 type node struct {
 	core *core.Core
@@ -60,7 +82,7 @@
 		for _, b := range s.fleet.Broken() {
 			t.Errorf("broken: %s", b)
 		}
-		for name := range s.nodes {
+		for _, name := range s.names() {
 			s.kill(name)
 		}
 		time.Sleep(time.Minute) // for the store's late appends and the workers' timers
@@ -68,7 +90,9 @@
 }
 
 func (s *site) lookup(id sched.TaskID) (fleet.Spec, bool) {
+	s.mu.Lock()
 	sp := s.specs[id.Job]
+	s.mu.Unlock()
 	if sp == nil {
 		return fleet.Spec{}, false
 	}
@@ -92,17 +116,17 @@
 		Workers: s.fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(began) },
 		Logger: zerolog.Nop(), Meter: meter.New(),
 		Peers: core.Peers{
-			Submit: func(ctx context.Context, addr string, sp *flow.Spec) error { return s.nodes[addr].core.Submit(ctx, sp) },
-			Cancel: func(ctx context.Context, addr, id string) error { return s.nodes[addr].core.Cancel(ctx, id) },
-			Status: func(ctx context.Context, addr, id string) (flow.Status, error) {
-				return s.nodes[addr].core.Status(ctx, id)
-			},
-			Ready: func(ctx context.Context, addr string) bool { return s.nodes[addr] != nil && s.nodes[addr].core.Ready() },
+			Submit: func(ctx context.Context, addr string, sp *flow.Spec) error { return s.at(addr).Submit(ctx, sp) },
+			Cancel: func(ctx context.Context, addr, id string) error { return s.at(addr).Cancel(ctx, id) },
+			Status: func(ctx context.Context, addr, id string) (flow.Status, error) { return s.at(addr).Status(ctx, id) },
+			Ready:  func(ctx context.Context, addr string) bool { c := s.at(addr); return c != nil && c.Ready() },
 		},
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{core: core.New(settings), stop: stop, done: make(chan struct{})}
+	s.mu.Lock()
 	s.nodes[name] = n
+	s.mu.Unlock()
 	go func() {
 		defer close(n.done)
 		n.core.Run(ctx)
@@ -126,15 +150,17 @@
 }
 
 func (s *site) kill(name string) {
+	s.mu.Lock()
 	n := s.nodes[name]
+	delete(s.nodes, name)
+	s.mu.Unlock()
 	n.stop()
 	<-n.done
-	delete(s.nodes, name)
 }
 
 func (s *site) leader() string {
-	for name, n := range s.nodes {
-		if n.core.Leads() {
+	for _, name := range s.names() {
+		if s.at(name).Leads() {
 			return name
 		}
 	}
@@ -143,6 +169,8 @@
 
 func (s *site) job(id string, steps ...flow.Step) *flow.Spec {
 	sp := &flow.Spec{ID: id, Queue: "q", Policy: s.conf.Queues[0].Policy, Steps: steps, AcceptedMs: time.Now().UnixMilli()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.specs[id] = sp
 	return sp
 }
@@ -154,13 +182,13 @@
 func (s *site) submit(node string, sp *flow.Spec) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return s.nodes[node].core.SubmitAnywhere(ctx, sp)
+	return s.at(node).SubmitAnywhere(ctx, sp)
 }
 
 func (s *site) state(node, id string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	st, err := s.nodes[node].core.StatusAnywhere(ctx, id)
+	st, err := s.at(node).StatusAnywhere(ctx, id)
 	if err != nil {
 		return err.Error()
 	}
@@ -170,7 +198,7 @@
 // wantState fails unless every instance shows the job so.
 func (s *site) wantState(id, want string) {
 	s.t.Helper()
-	for name := range s.nodes {
+	for _, name := range s.names() {
 		if got := s.state(name, id); got != want {
 			s.t.Errorf("%s shows %s as %s, not %s", name, id, got, want)
 		}
@@ -179,8 +207,8 @@
 
 // follower gives an instance that does not lead.
 func (s *site) follower() string {
-	for name, n := range s.nodes {
-		if !n.core.Leads() {
+	for _, name := range s.names() {
+		if !s.at(name).Leads() {
 			return name
 		}
 	}
@@ -217,7 +245,7 @@
 		{"cut from the store", func(s *site, l string) { s.store.Set(l, store.Silent) }},
 		{"refused by the store", func(s *site, l string) { s.store.Set(l, store.Busy) }},
 		{"cut from store and workers", func(s *site, l string) { s.store.Set(l, store.Silent); s.fleet.Cut(l, true) }},
-		{"resigned", func(s *site, l string) { s.nodes[l].core.Leave(context.Background()) }},
+		{"resigned", func(s *site, l string) { s.at(l).Leave(context.Background()) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -303,8 +331,8 @@
 		s.kill(old)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		is.NoErr(s.nodes[s.follower()].core.CancelAnywhere(ctx, "a"))
-		for name := range s.nodes {
+		is.NoErr(s.at(s.follower()).CancelAnywhere(ctx, "a"))
+		for _, name := range s.names() {
 			s.kill(name)
 		}
 		s.store.Expire()
