state/sched: run a failed task elsewhere

The new test fails without the change.

Conclusion: a worker at fault must not use up a job's attempts.

--- a/internal/state/sched/engine_test.go
+++ b/internal/state/sched/engine_test.go
@@ -101,3 +101,39 @@
 	s.run(2 * time.Second)
 	is.Equal(s.progress("a").State, flow.Complete)
 }
+
+// TestBadWorker checks that a worker on which everything fails costs no job its
+// attempts, even if it has been the fastest.
+func TestBadWorker(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 4, 6)
+	s.workers["w00"].speed = 8
+	s.run(time.Second)
+	for i := range 80 {
+		if i == 40 {
+			s.workers["w00"].failsAll = true
+		}
+		s.submit(simJob(fmt.Sprintf("a%d", i), "q2", tasks(2, 1000, 400)))
+		s.run(100 * time.Millisecond)
+	}
+	s.run(10 * time.Second)
+	is.Equal(s.failures, nil)
+	for _, id := range s.ids {
+		is.Equal(s.progress(id).State, flow.Complete)
+	}
+}
+
+// TestElsewhereAfterFailure checks that a task that failed runs next on another
+// worker, however much faster the first is.
+func TestElsewhereAfterFailure(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 5, 2)
+	s.run(time.Second)
+	s.engine.workers["w00"].slow = -4
+	s.workers["w00"].failsAll = true
+	s.submit(simJob("a", "q2", tasks(1, 1000, 400)))
+	s.run(5 * time.Second)
+	is.Equal(s.failures, nil)
+	is.Equal(s.fails[TaskID{Job: "a"}], 1)
+	is.Equal(s.progress("a").State, flow.Complete)
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -15,8 +15,6 @@
 	packWeight = 0.3
 	// farWeight is the cost of running away from a task's data: the usual factor is 2.
 	farWeight = 0.7
-	// againWeight keeps a task from a worker on which it has just failed.
-	againWeight = 1.0
 	// tooSlow keeps tasks from a worker on which they take five times the mean.
 	tooSlow        = 1.6
 	tooSlowSamples = 3
@@ -300,7 +298,8 @@
 			}
 		}
 	}
-	failedOn := ""
+	// A task that failed goes elsewhere if it can, in case its worker is at fault.
+	failedOn, again := "", (*seat)(nil)
 	if t := &c.round.Steps[c.step][c.idle[0]]; t.Fails > 0 {
 		failedOn = t.Worker
 	}
@@ -334,14 +333,18 @@
 		if st.DataRack != "" && s.w.Rack != st.DataRack {
 			s.rank += farWeight
 		}
-		if s.w.ID == failedOn {
-			s.rank += againWeight
-		}
 		if s.w.samples >= tooSlowSamples && s.w.slow > tooSlow {
 			s.rank += tooSlow
 		}
+		if s.w.ID == failedOn {
+			again = s
+			continue
+		}
 		out = append(out, s)
 	}
+	if len(out) == 0 && again != nil {
+		out = append(out, again)
+	}
 	sort.SliceStable(out, func(i, k int) bool {
 		if (out[i].fit > 0) != (out[k].fit > 0) {
 			return out[i].fit > 0
