--- a/internal/command/oper/try.go
+++ b/internal/command/oper/try.go
@@ -39,6 +39,7 @@
 	io      IO
 	domains []string
 	client  *http.Client
+	logger  zerolog.Logger
 
 	mu      sync.Mutex
 	waits   map[string][]time.Duration // by class
@@ -61,7 +62,7 @@
 	set.DrainDelay = 200 * time.Millisecond
 	set.TaskLease = 5 * time.Second
 	t := &trial{
-		io: io, client: &http.Client{Timeout: tryPatience}, waits: map[string][]time.Duration{}, outcome: map[string]int{},
+		io: io, logger: logger, client: &http.Client{Timeout: tryPatience}, waits: map[string][]time.Duration{}, outcome: map[string]int{},
 		domains: []string{"sahel-sfax", "sahel-sousse", "sahel-monastir"}[:tryDomains],
 	}
 	c, err := cell.Start(cell.Config{
@@ -88,6 +89,7 @@
 		{"a non-idempotent request repeated at another instance", t.once},
 		{"a planned stop under load", t.plannedStop},
 		{"an accepted configuration after a platform outage", t.outage},
+		{"on the platform: steps, a gang, a schedule, the leader lost", t.site},
 	}
 	for _, s := range steps {
 		begin := time.Now()
