--- a/internal/coordination/core/core_test.go
+++ b/internal/coordination/core/core_test.go
@@ -116,9 +116,24 @@
 		Workers: s.fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(began) },
 		Logger: zerolog.Nop(), Meter: meter.New(),
 		Peers: core.Peers{
-			Submit: func(ctx context.Context, addr string, sp *flow.Spec) error { return s.at(addr).Submit(ctx, sp) },
-			Cancel: func(ctx context.Context, addr, id string) error { return s.at(addr).Cancel(ctx, id) },
-			Status: func(ctx context.Context, addr, id string) (flow.Status, error) { return s.at(addr).Status(ctx, id) },
+			Submit: func(ctx context.Context, addr string, sp *flow.Spec) error {
+				if c := s.at(addr); c != nil {
+					return c.Submit(ctx, sp)
+				}
+				return core.ErrNotRun
+			},
+			Cancel: func(ctx context.Context, addr, id string) error {
+				if c := s.at(addr); c != nil {
+					return c.Cancel(ctx, id)
+				}
+				return core.ErrNotRun
+			},
+			Status: func(ctx context.Context, addr, id string) (flow.Status, error) {
+				if c := s.at(addr); c != nil {
+					return c.Status(ctx, id)
+				}
+				return flow.Status{}, core.ErrNotRun
+			},
 			Ready:  func(ctx context.Context, addr string) bool { c := s.at(addr); return c != nil && c.Ready() },
 		},
 	}
