--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -160,7 +160,7 @@
 	if !w.holding && !now.Before(w.nextHold) && w.Addr != "" && (w.listed || len(w.runs) > 0) {
 		e.hold(now, w)
 	}
-	if !w.lapsed && !w.reachable() && now.After(w.lapseAt) && len(w.runs) > 0 {
+	if !w.reachable() && now.After(w.lapseAt) && len(w.runs) > 0 {
 		e.lapse(now, w)
 	}
 	for _, r := range w.runs {
@@ -193,12 +193,15 @@
 	e.out.Orders = append(e.out.Orders, o)
 }
 
-// lapse gives up what ran on a worker whose leases have all ended.
+// lapse gives up what ran on a worker whose leases have all ended. A run for
+// which an order is under way waits: another incarnation may yet take it.
 func (e *Engine) lapse(now time.Time, w *worker) {
+	if !w.lapsed {
+		e.event("worker-lapsed", TaskID{}, 0, w.ID, "", now.Sub(w.answered))
+	}
 	w.lapsed = true
-	e.event("worker-lapsed", TaskID{}, 0, w.ID, "", now.Sub(w.answered))
 	for _, r := range w.list() {
-		if r.ordered {
+		if r.ordered && r.calls == 0 {
 			e.void(now, r, "lease lapsed")
 		}
 	}
