--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -20,6 +20,7 @@
 	// nothing would show that it is well again.
 	badTime    = time.Second
 	maxWaiting = 2000    // calls
+	maxQueued  = 8 << 20 // bytes of calls that wait
 	maxBytes   = 1 << 20 // of one append; the store takes 2 MiB
 )
 
@@ -43,6 +44,7 @@
 
 	mu       sync.Mutex
 	waiting  []*call
+	queued   int       // bytes of the waiting calls
 	sentAt   time.Time // of the append under way, zero if there is none
 	lastGood time.Time
 	lastBad  time.Time
@@ -54,6 +56,15 @@
 	done    chan error
 }
 
+// size gives the bytes of the call's records.
+func (c *call) size() int {
+	n := 0
+	for _, r := range c.records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
 // New gives an Intake; Run must be called for it to work.
 func New(set Settings) *Intake {
 	return &Intake{set: set, wake: make(chan struct{}, 1)}
@@ -64,11 +75,12 @@
 func (n *Intake) Store(ctx context.Context, records ...ledger.Record) error {
 	c := &call{records: records, done: make(chan error, 1)}
 	n.mu.Lock()
-	if len(n.waiting) >= maxWaiting || n.stuck() {
+	if len(n.waiting) >= maxWaiting || n.queued > maxQueued || n.stuck() {
 		n.mu.Unlock()
 		return ErrRefused
 	}
 	n.waiting = append(n.waiting, c)
+	n.queued += c.size()
 	n.mu.Unlock()
 	select {
 	case n.wake <- struct{}{}:
@@ -100,6 +112,7 @@
 	for i, x := range n.waiting {
 		if x == c {
 			n.waiting = append(n.waiting[:i], n.waiting[i+1:]...)
+			n.queued -= c.size()
 			return ErrRefused
 		}
 	}
@@ -152,17 +165,16 @@
 	var records []ledger.Record
 	size, used := 0, 0
 	for _, c := range n.waiting {
-		for _, r := range c.records {
-			size += len(r.Key) + len(r.Value)
-		}
-		if used > 0 && size > maxBytes {
+		if used > 0 && size+c.size() > maxBytes {
 			break
 		}
+		size += c.size()
 		records = append(records, c.records...)
 		used++
 	}
 	calls := n.waiting[:used:used]
 	n.waiting = append([]*call(nil), n.waiting[used:]...)
+	n.queued -= size
 	if used > 0 {
 		n.sentAt = n.set.Now()
 	}
@@ -174,7 +186,7 @@
 func (n *Intake) refuseWaiting() {
 	n.mu.Lock()
 	calls := n.waiting
-	n.waiting = nil
+	n.waiting, n.queued = nil, 0
 	n.lastBad = n.set.Now()
 	n.mu.Unlock()
 	for _, c := range calls {
--- a/internal/state/flow/flow_test.go
+++ b/internal/state/flow/flow_test.go
@@ -31,6 +31,10 @@
 		{"cycle", func(s *Spec) { s.Steps[0].After = []int{1} }, "steps[0].after"},
 		{"unknown step", func(s *Spec) { s.Steps[1].After = []int{7} }, "steps[1].after"},
 		{"long payload", func(s *Spec) { s.Payload = strings.Repeat("x", MaxPayloadBytes+1) }, "payload"},
+		{"too many tasks together", func(s *Spec) { s.Steps = []Step{{Count: 2000}, {Count: 2000}, {Count: 1}} }, "at most 4000 tasks together"},
+		{"long label", func(s *Spec) { s.Steps[0].Label = strings.Repeat("x", 300) }, "steps[0].label"},
+		{"step named twice", func(s *Spec) { s.Steps[1].After = []int{0, 0} }, "steps[1].after"},
+		{"too often", func(s *Spec) { s.Repeat.Times = MaxTimes + 1 }, "repeat"},
 		{"negative repeat", func(s *Spec) { s.Repeat.EveryMs = -1 }, "repeat"},
 		{"two faults at once", func(s *Spec) { s.ID, s.Steps[1].Count = "", 0 }, "steps[1].count"},
 	}
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -12,7 +12,10 @@
 const (
 	MaxSteps        = 64
 	MaxTasks        = 2000 // of one step
+	MaxOpenTasks    = 4000 // of one round; their progress must fit one record of the store
 	MaxPayloadBytes = 4000
+	MaxTextBytes    = 256 // of a label, rack or image
+	MaxTimes        = 1_000_000
 )
 
 // Step is a set of alike tasks.
@@ -90,15 +93,32 @@
 	if n := len(s.Steps); n < 1 || n > MaxSteps {
 		bad("steps", n, fmt.Sprintf("1 to %d steps", MaxSteps))
 	}
-	if r := s.Repeat; r.Times < 0 || r.EveryMs < 0 || r.FirstMs < 0 {
-		bad("repeat", r, "no negative numbers")
+	if r := s.Repeat; r.Times < 0 || r.Times > MaxTimes || r.EveryMs < 0 || r.FirstMs < 0 {
+		bad("repeat", r, fmt.Sprintf("no negative numbers, at most %d times", MaxTimes))
 	}
 	for i := range s.Steps {
 		s.Steps[i].check(i, bad)
 	}
+	if n := s.tasks(); n > MaxOpenTasks {
+		bad("steps", n, fmt.Sprintf("at most %d tasks together", MaxOpenTasks))
+	}
 	return l.Err()
 }
 
+// tasks gives the number of tasks of one round.
+func (s *Spec) tasks() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// MayOpen reports whether another round may begin beside n open ones.
+func (s *Spec) MayOpen(n int) bool {
+	return n == 0 || (n+1)*s.tasks() <= MaxOpenTasks
+}
+
 func (t *Step) check(i int, bad func(path string, value any, allowed string)) {
 	at := func(name string) string { return fmt.Sprintf("steps[%d].%s", i, name) }
 	if t.Count < 1 || t.Count > MaxTasks {
@@ -110,6 +130,12 @@
 	if t.EstimateMs < 0 || t.MaxPerWorker < 0 || t.MaxAway < 0 || t.TailMs < 0 {
 		bad(at("estimate-ms, max-per-worker, max-away, tail-ms"), "negative", "0 or more")
 	}
+	if len(t.Label) > MaxTextBytes || len(t.DataRack) > MaxTextBytes || len(t.Image) > MaxTextBytes {
+		bad(at("label, data-rack, image"), "too long", fmt.Sprintf("at most %d bytes", MaxTextBytes))
+	}
+	if len(t.After) > i {
+		bad(at("after"), len(t.After), "each earlier step once")
+	}
 	for _, a := range t.After {
 		if a < 0 || a >= i {
 			bad(at("after"), a, "numbers of earlier steps, counted from 0")
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -229,7 +229,7 @@
 const tickEvery = 8 * time.Millisecond
 
 func (e *Engine) beginRounds(now time.Time, j *job) {
-	for j.NextRound < j.Spec.Rounds() && now.UnixMilli() >= j.DueMs(j.NextRound) {
+	for j.NextRound < j.Spec.Rounds() && now.UnixMilli() >= j.DueMs(j.NextRound) && j.MayOpen(len(j.Progress.Rounds)) {
 		j.Progress.Rounds = append(j.Progress.Rounds, flow.NewRound(j.Spec, j.NextRound))
 		j.NextRound++
 	}
--- a/internal/state/sched/engine_test.go
+++ b/internal/state/sched/engine_test.go
@@ -137,3 +137,22 @@
 	is.Equal(s.fails[TaskID{Job: "a"}], 1)
 	is.Equal(s.progress("a").State, flow.Complete)
 }
+
+// TestManyRounds checks that a job whose rounds are all due holds only as many
+// open as one record can carry, and comes to its end.
+func TestManyRounds(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 6, 12)
+	s.run(time.Second)
+	j := simJob("a", "q2", tasks(100, 10, 50))
+	j.Repeat = flow.Repeat{Times: 100, FirstMs: 1, EveryMs: 1}
+	s.submit(j)
+	most := 0
+	for range 400 {
+		s.run(100 * time.Millisecond)
+		most = max(most, len(s.progress("a").Rounds))
+	}
+	is.Equal(s.failures, nil)
+	is.True(most <= flow.MaxOpenTasks/100)
+	is.Equal(s.progress("a").State, flow.Complete)
+}
