coordination/core: a leader of many workers gives its orders through other instances

Cause: at 350 workers and 850 starts a second one instance made each call itself and could not keep up.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -114,6 +114,7 @@
 		Log: store.Ledger(), Config: store.Orders(), DecodeConfig: platform.DecodeConfig, Workers: workers.Calls(),
 		Advisers: core.Advisers{Own: placement.Advise, Peer: peers.Advise},
 		Peers:    core.Peers{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Ready: peers.Ready},
+		Relay:    core.Relay{Give: peers.Give, Answers: peers.Answers},
 		Now:      time.Now, Uptime: uptime, Logger: logger, Meter: s.meter,
 	})
 	return s, nil
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -54,6 +54,7 @@
 	Workers      Workers
 	Advisers     Advisers
 	Peers        Peers
+	Relay        Relay
 	Now          func() time.Time
 	// Uptime is a clock that also counts time in which the machine is suspended.
 	Uptime func() time.Duration
@@ -63,18 +64,19 @@
 
 // Core is an instance's part in the system.
 type Core struct {
-	set    Settings
-	intake *intake.Intake
-	tail   *ledger.Tail
-	watch  *ledger.Tail
-	index  *flow.Index
-	config atomic.Pointer[flow.Config]
-	ready  atomic.Bool // the ledger has been read to its end once
-	leads  atomic.Bool
-	reads  atomic.Bool // the newest read of the ledger went well
-	advise adviseQueue
-	probes sync.Map // by peer's address: the newest answer whether it is ready
-	peers  atomic.Pointer[map[string]instance]
+	set     Settings
+	intake  *intake.Intake
+	tail    *ledger.Tail
+	watch   *ledger.Tail
+	index   *flow.Index
+	config  atomic.Pointer[flow.Config]
+	ready   atomic.Bool // the ledger has been read to its end once
+	leads   atomic.Bool
+	reads   atomic.Bool // the newest read of the ledger went well
+	advise  adviseQueue
+	carrier carrier
+	probes  sync.Map // by peer's address: the newest answer whether it is ready
+	peers   atomic.Pointer[map[string]instance]
 
 	events chan func(now time.Time) // run by the loop, in order
 	done   chan struct{}
@@ -88,6 +90,7 @@
 	lead     leadership
 	engine   *sched.Engine
 	listing  listing
+	relay    relaying
 	append   appending
 	decideAt time.Time
 	tickAt   time.Time
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -145,10 +146,15 @@
 
 // rank spreads the instances' bids over time, anew for each term.
 func (c *Core) rank() time.Duration {
+	return time.Duration(hash32(c.set.Life, strconv.FormatInt(c.lead.term, 10)) % rankSteps)
+}
+
+func hash32(parts ...string) uint32 {
 	h := fnv.New32a()
-	h.Write([]byte(c.set.Life))
-	h.Write([]byte{byte(c.lead.term)})
-	return time.Duration(h.Sum32() % rankSteps)
+	for _, p := range parts {
+		h.Write([]byte(p)) // never fails
+	}
+	return h.Sum32()
 }
 
 // bid appends a claim. Whether it won shows when the claim is read back.
@@ -191,6 +197,7 @@
 	c.append = appending{writer: c.leaderWriter(c.lead.term), lastAt: now}
 	c.lead.confirmed = c.set.Uptime()
 	c.listing = listing{}
+	c.relay = c.newRelaying()
 	if conf := c.config.Load(); conf != nil {
 		c.engine.SetConfig(conf)
 	}
@@ -221,6 +228,8 @@
 		c.append.cancel()
 	}
 	c.append = appending{}
+	c.relay.stop()
+	c.relay = relaying{}
 	for _, j := range c.jobs {
 		j.Progress = flow.Progress{}
 	}
--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -58,6 +58,7 @@
 		c.decideAt = now.Add(decideEvery)
 	}
 	c.stepAppend(now)
+	c.sweep(now)
 	c.dispatch(now)
 	if c.engine != nil && now.Sub(c.statsAt) >= statsEvery {
 		c.statsAt = now
@@ -227,23 +228,22 @@
 		return
 	}
 	term, rightful := c.lead.term, c.rightful()
+	batches := map[string][]NumberedOrder{}
 	for _, o := range out.Orders {
-		switch o.Kind {
-		case sched.OrderHold:
-			if !rightful {
-				o.Until = 0
-			}
-			c.calls.Go(func() { c.sendHold(o, term) })
-		case sched.OrderStart:
-			if !rightful {
+		if !rightful {
+			o.Until = 0
+			if o.Kind == sched.OrderStart {
 				c.engine.Started(now, o, sched.AnswerRefused, 0)
 				continue
 			}
-			c.calls.Go(func() { c.sendStart(o, term) })
-		case sched.OrderStop:
-			c.calls.Go(func() { c.sendStop(o, term) })
 		}
+		if name := c.helperFor(now, o.Worker); name != "" {
+			batches[name] = append(batches[name], c.number(now, name, o))
+			continue
+		}
+		c.calls.Go(func() { c.sendOrder(o, term) })
 	}
+	c.relayOrders(now, batches)
 	for _, q := range out.Asks {
 		c.calls.Go(func() { c.sendAsk(q, term) })
 	}
@@ -257,39 +257,20 @@
 	}
 }
 
-func (c *Core) sendStart(o sched.Order, term int64) {
-	began := c.set.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
-	defer cancel()
-	a := c.set.Workers.Start(ctx, o, term)
-	c.post(func(now time.Time) {
-		c.report(term, func() { c.engine.Started(now, o, a, now.Sub(began)) })
-	})
-}
-
-func (c *Core) sendStop(o sched.Order, term int64) {
+// sendOrder gives an order from this instance.
+func (c *Core) sendOrder(o sched.Order, term int64) {
 	began := c.set.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, stopTimeout)
-	defer cancel()
-	a := c.set.Workers.Stop(ctx, o, term)
-	c.post(func(now time.Time) {
-		c.report(term, func() { c.engine.Stopped(now, o, a, now.Sub(began)) })
-	})
-}
-
-func (c *Core) sendHold(o sched.Order, term int64) {
-	began := c.set.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, o.Wait+holdTimeout)
-	defer cancel()
-	rep, a := c.set.Workers.Hold(ctx, o, term)
+	a := NumberedAnswer{}
+	switch o.Kind {
+	case sched.OrderStart:
+		a.Answer = c.callStart(o, term)
+	case sched.OrderStop:
+		a.Answer = c.callStop(o, term)
+	case sched.OrderHold:
+		a.Report, a.Answer = c.callHold(o, term)
+	}
 	c.post(func(now time.Time) {
-		c.report(term, func() {
-			if a == sched.AnswerOK {
-				c.engine.Held(now, o, rep)
-			} else {
-				c.engine.HoldFailed(now, o, a, now.Sub(began))
-			}
-		})
+		c.report(term, func() { c.answered(now, pendingOrder{order: o, sentAt: began}, a) })
 	})
 }
 
--- a/internal/protocol/cellpb/cell.twirp.go
+++ b/internal/protocol/cellpb/cell.twirp.go
@@ -48,6 +48,12 @@
 
 	// Ready tells whether the called instance can store calls.
 	Ready(context.Context, *ReadyRequest) (*ReadyReply, error)
+
+	// Give has the called instance carry orders to workers.
+	Give(context.Context, *GiveRequest) (*GiveReply, error)
+
+	// Answers waits for the answers to orders given before.
+	Answers(context.Context, *AnswersRequest) (*AnswersReply, error)
 }
 
 // ====================
@@ -56,7 +62,7 @@
 
 type cellProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -84,12 +90,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "tamaracklink.cell", "Cell")
-	urls := [5]string{
+	urls := [7]string{
 		serviceURL + "Advise",
 		serviceURL + "Submit",
 		serviceURL + "Cancel",
 		serviceURL + "Status",
 		serviceURL + "Ready",
+		serviceURL + "Give",
+		serviceURL + "Answers",
 	}
 
 	return &cellProtobufClient{
@@ -330,13 +338,105 @@
 	return out, nil
 }
 
+func (c *cellProtobufClient) Give(ctx context.Context, in *GiveRequest) (*GiveReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "tamaracklink.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Give")
+	caller := c.callGive
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GiveRequest) (*GiveReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveRequest) when calling interceptor")
+					}
+					return c.callGive(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callGive(ctx context.Context, in *GiveRequest) (*GiveReply, error) {
+	out := new(GiveReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellProtobufClient) Answers(ctx context.Context, in *AnswersRequest) (*AnswersReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "tamaracklink.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Answers")
+	caller := c.callAnswers
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnswersRequest) (*AnswersReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnswersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnswersRequest) when calling interceptor")
+					}
+					return c.callAnswers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnswersReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnswersReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellProtobufClient) callAnswers(ctx context.Context, in *AnswersRequest) (*AnswersReply, error) {
+	out := new(AnswersReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Cell JSON Client
 // ================
 
 type cellJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [7]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -364,12 +464,14 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "tamaracklink.cell", "Cell")
-	urls := [5]string{
+	urls := [7]string{
 		serviceURL + "Advise",
 		serviceURL + "Submit",
 		serviceURL + "Cancel",
 		serviceURL + "Status",
 		serviceURL + "Ready",
+		serviceURL + "Give",
+		serviceURL + "Answers",
 	}
 
 	return &cellJSONClient{
@@ -610,6 +712,98 @@
 	return out, nil
 }
 
+func (c *cellJSONClient) Give(ctx context.Context, in *GiveRequest) (*GiveReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "tamaracklink.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Give")
+	caller := c.callGive
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GiveRequest) (*GiveReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveRequest) when calling interceptor")
+					}
+					return c.callGive(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callGive(ctx context.Context, in *GiveRequest) (*GiveReply, error) {
+	out := new(GiveReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *cellJSONClient) Answers(ctx context.Context, in *AnswersRequest) (*AnswersReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "tamaracklink.cell")
+	ctx = ctxsetters.WithServiceName(ctx, "Cell")
+	ctx = ctxsetters.WithMethodName(ctx, "Answers")
+	caller := c.callAnswers
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnswersRequest) (*AnswersReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnswersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnswersRequest) when calling interceptor")
+					}
+					return c.callAnswers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnswersReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnswersReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *cellJSONClient) callAnswers(ctx context.Context, in *AnswersRequest) (*AnswersReply, error) {
+	out := new(AnswersReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Cell Server Handler
 // ===================
@@ -722,6 +916,12 @@
 	case "Ready":
 		s.serveReady(ctx, resp, req)
 		return
+	case "Give":
+		s.serveGive(ctx, resp, req)
+		return
+	case "Answers":
+		s.serveAnswers(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1629,6 +1829,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *cellServer) serveGive(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveGiveJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveGiveProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveGiveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Give")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(GiveRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Give
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GiveRequest) (*GiveReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveRequest) when calling interceptor")
+					}
+					return s.Cell.Give(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GiveReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GiveReply and nil error while calling Give. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveGiveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Give")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(GiveRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Give
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *GiveRequest) (*GiveReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GiveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GiveRequest) when calling interceptor")
+					}
+					return s.Cell.Give(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*GiveReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*GiveReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *GiveReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *GiveReply and nil error while calling Give. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveAnswers(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAnswersJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAnswersProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *cellServer) serveAnswersJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Answers")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AnswersRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Cell.Answers
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnswersRequest) (*AnswersReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnswersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnswersRequest) when calling interceptor")
+					}
+					return s.Cell.Answers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnswersReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnswersReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnswersReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnswersReply and nil error while calling Answers. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *cellServer) serveAnswersProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Answers")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AnswersRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Cell.Answers
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnswersRequest) (*AnswersReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnswersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnswersRequest) when calling interceptor")
+					}
+					return s.Cell.Answers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnswersReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnswersReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnswersReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnswersReply and nil error while calling Answers. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *cellServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2210,33 +2770,59 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 444 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x93, 0x4f, 0x6b, 0xd4, 0x40,
-	0x18, 0xc6, 0x49, 0xd2, 0xec, 0x9f, 0xb7, 0xdb, 0xa2, 0x43, 0x0f, 0x31, 0x58, 0x0d, 0xe9, 0x25,
-	0x20, 0x64, 0xa1, 0x5e, 0xa4, 0x20, 0xa2, 0x4b, 0x15, 0x0b, 0x22, 0xcc, 0x7a, 0xf2, 0x22, 0x93,
-	0xc9, 0x8b, 0x0e, 0x99, 0xfc, 0x69, 0x32, 0x59, 0xc9, 0x67, 0xf2, 0xb3, 0xf9, 0x1d, 0x24, 0x33,
-	0x1b, 0x9a, 0x62, 0xba, 0x1e, 0x3c, 0xe5, 0x7d, 0x66, 0x9e, 0xe7, 0x99, 0xc9, 0x2f, 0x04, 0x2e,
-	0x44, 0xa1, 0xb0, 0x2e, 0x98, 0x5c, 0x57, 0x75, 0xa9, 0x4a, 0x5e, 0xca, 0x35, 0x47, 0x29, 0xab,
-	0x44, 0x3f, 0x62, 0xbd, 0x48, 0x1e, 0x2b, 0x96, 0xb3, 0x9a, 0xf1, 0x4c, 0x8a, 0x22, 0x8b, 0xfb,
-	0x8d, 0x70, 0x0b, 0x27, 0x6f, 0xd3, 0x9d, 0x68, 0x90, 0xe2, 0x6d, 0x8b, 0x8d, 0x22, 0x04, 0x8e,
-	0x1a, 0x85, 0x95, 0x67, 0x05, 0x56, 0xb4, 0xa4, 0x7a, 0x26, 0x1e, 0xcc, 0x7f, 0x96, 0x75, 0x86,
-	0x75, 0xe3, 0xd9, 0x81, 0x13, 0x2d, 0xe9, 0x20, 0xc9, 0x19, 0xb8, 0xb7, 0xad, 0xe0, 0x99, 0xe7,
-	0x04, 0x56, 0xb4, 0xa0, 0x46, 0x84, 0xbf, 0x2c, 0x38, 0x1e, 0x5a, 0x2b, 0xd9, 0x91, 0x6b, 0x98,
-	0x2b, 0xc1, 0x33, 0x54, 0x8d, 0x67, 0x05, 0x4e, 0x74, 0x7c, 0xf9, 0x22, 0xfe, 0xeb, 0x26, 0xf1,
-	0x28, 0x10, 0x7f, 0x31, 0xee, 0xeb, 0x42, 0xd5, 0x1d, 0x1d, 0xb2, 0xe4, 0x09, 0x2c, 0x76, 0x4c,
-	0x8a, 0xf4, 0x5b, 0xde, 0xdf, 0xc3, 0x8a, 0x1c, 0x3a, 0xd7, 0xfa, 0x53, 0xe3, 0x5f, 0xc1, 0x6a,
-	0x9c, 0x21, 0x8f, 0xc0, 0xc9, 0xb0, 0xdb, 0xbf, 0x44, 0x3f, 0xf6, 0x37, 0xdd, 0x31, 0xd9, 0xa2,
-	0x4e, 0x2e, 0xa9, 0x11, 0x57, 0xf6, 0x2b, 0x2b, 0xbc, 0x80, 0x93, 0x6d, 0x9b, 0xe4, 0x42, 0x8d,
-	0x11, 0x54, 0xc8, 0x75, 0x7a, 0x45, 0xf5, 0x1c, 0x3e, 0x05, 0xb8, 0x29, 0x93, 0xc1, 0x71, 0x0a,
-	0xb6, 0x48, 0xf7, 0xed, 0xb6, 0x48, 0xc3, 0x8f, 0x30, 0xff, 0xdc, 0x2a, 0x5e, 0xe6, 0xd8, 0x87,
-	0x79, 0x99, 0xa2, 0xde, 0x74, 0xa9, 0x9e, 0x0d, 0x25, 0xbc, 0x3b, 0x5b, 0x8b, 0x7e, 0xb5, 0x51,
-	0x4c, 0xa1, 0x66, 0xe7, 0x52, 0x23, 0xc2, 0x53, 0x58, 0x51, 0x64, 0x69, 0xb7, 0x3f, 0x2a, 0x0c,
-	0x01, 0xf6, 0xba, 0x27, 0x79, 0x06, 0x6e, 0xdd, 0x2b, 0x5d, 0xbf, 0xa0, 0x46, 0x5c, 0xfe, 0xb6,
-	0xe1, 0x68, 0x83, 0x52, 0x92, 0x1b, 0x98, 0x19, 0x8c, 0x24, 0x38, 0x40, 0x58, 0x17, 0xfb, 0xcf,
-	0x0e, 0x7f, 0x03, 0xf2, 0x1e, 0x66, 0x06, 0xcb, 0x64, 0xd7, 0x3d, 0x62, 0xbe, 0x3f, 0xe1, 0x18,
-	0x80, 0x6c, 0x60, 0xb6, 0x61, 0x05, 0x47, 0x49, 0xce, 0x27, 0x5c, 0x77, 0x50, 0xff, 0x55, 0xb2,
-	0x55, 0x4c, 0xb5, 0xcd, 0xff, 0x94, 0x7c, 0x00, 0x57, 0xa3, 0x24, 0xcf, 0x27, 0x4c, 0x63, 0xe8,
-	0xfe, 0xf9, 0xc3, 0x86, 0x4a, 0x76, 0xef, 0xde, 0x7c, 0x7d, 0xfd, 0x5d, 0xa8, 0x1f, 0x6d, 0x12,
-	0xf3, 0x32, 0x5f, 0x8f, 0xad, 0xf7, 0xc5, 0x43, 0xff, 0x64, 0x32, 0xd3, 0x0b, 0x2f, 0xff, 0x04,
-	0x00, 0x00, 0xff, 0xff, 0x46, 0xf6, 0x86, 0x91, 0xb6, 0x03, 0x00, 0x00,
+	// 853 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x55, 0xdd, 0x8a, 0x1b, 0x37,
+	0x14, 0x66, 0x3c, 0x7f, 0xeb, 0x63, 0x67, 0x69, 0x45, 0xd8, 0x4e, 0x4c, 0xd2, 0xb8, 0x93, 0x1b,
+	0x43, 0x8b, 0xb7, 0x6c, 0x7a, 0x51, 0x02, 0xa5, 0xa4, 0x5b, 0x37, 0x34, 0xb0, 0x04, 0xb4, 0x2d,
+	0x81, 0xde, 0x04, 0x79, 0xa4, 0xa6, 0xc3, 0xc8, 0x33, 0x8e, 0xa4, 0xf1, 0xe2, 0xdb, 0xbe, 0x40,
+	0x1f, 0xa4, 0x8f, 0xd1, 0x17, 0x2b, 0x3a, 0xd2, 0x78, 0x67, 0xd9, 0xd9, 0xcd, 0x45, 0xae, 0x7c,
+	0x3e, 0xe9, 0xe8, 0xfc, 0x7c, 0xdf, 0x99, 0x63, 0x78, 0x56, 0xd6, 0x46, 0xa8, 0x9a, 0xc9, 0xd3,
+	0xad, 0x6a, 0x4c, 0x53, 0x34, 0xf2, 0xb4, 0x10, 0x52, 0x6e, 0xd7, 0xf8, 0xb3, 0xc4, 0x43, 0xf2,
+	0xb9, 0x61, 0x1b, 0xa6, 0x58, 0x51, 0xc9, 0xb2, 0xae, 0x96, 0xf6, 0x22, 0xbf, 0x84, 0x07, 0x2f,
+	0xf9, 0xae, 0xd4, 0x82, 0x8a, 0x0f, 0xad, 0xd0, 0x86, 0x10, 0x88, 0xb4, 0x11, 0xdb, 0x2c, 0x98,
+	0x07, 0x8b, 0x31, 0x45, 0x9b, 0x64, 0x90, 0x5e, 0x35, 0xaa, 0x12, 0x4a, 0x67, 0xa3, 0x79, 0xb8,
+	0x18, 0xd3, 0x0e, 0x92, 0x87, 0x10, 0x7f, 0x68, 0xcb, 0xa2, 0xca, 0xc2, 0x79, 0xb0, 0x38, 0xa2,
+	0x0e, 0xe4, 0xff, 0x06, 0x30, 0xe9, 0xa2, 0x6e, 0xe5, 0x9e, 0xac, 0x20, 0x35, 0x65, 0x51, 0x09,
+	0xa3, 0xb3, 0x60, 0x1e, 0x2e, 0x26, 0x67, 0x5f, 0x2f, 0x6f, 0x55, 0xb2, 0xec, 0x3d, 0x58, 0xfe,
+	0xe6, 0xbc, 0x57, 0xb5, 0x51, 0x7b, 0xda, 0xbd, 0x25, 0x8f, 0xe0, 0x68, 0xc7, 0x64, 0xc9, 0xdf,
+	0x6d, 0x6c, 0x1d, 0xc1, 0x22, 0xa4, 0x29, 0xe2, 0x0b, 0x3d, 0x7b, 0x01, 0xd3, 0xfe, 0x1b, 0xf2,
+	0x19, 0x84, 0x95, 0xd8, 0xfb, 0x26, 0xac, 0x69, 0x2b, 0xdd, 0x31, 0xd9, 0x0a, 0x7c, 0x39, 0xa6,
+	0x0e, 0xbc, 0x18, 0x7d, 0x1f, 0xe4, 0xcf, 0xe0, 0xc1, 0x65, 0xbb, 0xde, 0x94, 0xa6, 0x4f, 0xc1,
+	0x56, 0x14, 0xf8, 0x7a, 0x4a, 0xd1, 0xce, 0x1f, 0x03, 0xbc, 0x6e, 0xd6, 0x9d, 0xc7, 0x31, 0x8c,
+	0x4a, 0xee, 0xa3, 0x8f, 0x4a, 0x9e, 0xff, 0x0a, 0xe9, 0x9b, 0xd6, 0x14, 0xcd, 0x46, 0xd8, 0xc7,
+	0x45, 0xc3, 0x05, 0x5e, 0xc6, 0x14, 0x6d, 0xc7, 0x92, 0xb8, 0xce, 0x8d, 0xc0, 0x9e, 0x6a, 0xc3,
+	0x8c, 0x40, 0xee, 0x62, 0xea, 0x40, 0x7e, 0x0c, 0x53, 0x2a, 0x18, 0xdf, 0xfb, 0x54, 0x79, 0x0e,
+	0xe0, 0xb1, 0x65, 0xf2, 0x21, 0xc4, 0xca, 0x22, 0x0c, 0x7f, 0x44, 0x1d, 0xc8, 0xff, 0x19, 0x41,
+	0xfc, 0x46, 0x71, 0xa1, 0x7a, 0x85, 0x45, 0xb6, 0x30, 0x5b, 0x4d, 0x55, 0xd6, 0x1c, 0x13, 0xc7,
+	0x14, 0x6d, 0x72, 0x02, 0x89, 0x93, 0x0f, 0x13, 0x8f, 0xa9, 0x47, 0xd6, 0x97, 0x71, 0xae, 0xb2,
+	0xc8, 0x29, 0x6f, 0x6d, 0x7b, 0x66, 0x98, 0xae, 0xb2, 0xd8, 0x9d, 0x59, 0xdb, 0x72, 0xab, 0xda,
+	0x3a, 0x4b, 0x50, 0x01, 0x6b, 0xda, 0xf9, 0xd8, 0xb2, 0xbd, 0x6c, 0x18, 0xcf, 0x52, 0x74, 0xec,
+	0x20, 0xf6, 0xc8, 0x76, 0x82, 0x67, 0x47, 0xae, 0x73, 0x04, 0xb6, 0x02, 0xa7, 0x69, 0x36, 0x76,
+	0x15, 0x38, 0x64, 0x05, 0x6e, 0x6b, 0x53, 0x4a, 0x2b, 0x30, 0x38, 0x81, 0x11, 0x5f, 0xe0, 0xa0,
+	0xb1, 0xa2, 0x12, 0x3c, 0x9b, 0xe0, 0xb9, 0x03, 0xe4, 0x0b, 0x48, 0xaf, 0x58, 0x69, 0xac, 0xff,
+	0x14, 0xcf, 0x13, 0x0b, 0x2f, 0x74, 0x5e, 0xc1, 0xe4, 0x55, 0xb9, 0x3b, 0x0c, 0xf5, 0x09, 0x24,
+	0x52, 0x30, 0x2e, 0x94, 0xd7, 0xcc, 0x23, 0x6c, 0x4f, 0xa8, 0x8d, 0x9f, 0x26, 0xb4, 0xc9, 0xb7,
+	0x90, 0x34, 0x96, 0x4b, 0x9d, 0x85, 0x38, 0xab, 0xd9, 0xc0, 0xac, 0x22, 0xd9, 0xd4, 0xfb, 0xe5,
+	0x13, 0x18, 0xbb, 0x64, 0x5b, 0xb9, 0xcf, 0xdf, 0xc2, 0xf1, 0xcb, 0x5a, 0x5f, 0x09, 0xa5, 0x3f,
+	0x96, 0xdc, 0xb6, 0xf4, 0xa7, 0x11, 0x0a, 0xb3, 0x47, 0xd4, 0x81, 0x7e, 0x4b, 0xe1, 0x8d, 0x96,
+	0x56, 0x90, 0xd2, 0xb6, 0xae, 0xcb, 0xfa, 0xfd, 0x41, 0x95, 0xe0, 0xb6, 0x2a, 0xa3, 0x6b, 0x55,
+	0x0e, 0xdc, 0x87, 0x3d, 0xee, 0xf3, 0x0d, 0x84, 0x2b, 0x37, 0x04, 0x75, 0xbb, 0x59, 0xfb, 0xa2,
+	0x42, 0xea, 0xd1, 0x21, 0xf4, 0xe8, 0x76, 0xe8, 0xf0, 0x3a, 0x74, 0x37, 0x56, 0x51, 0x6f, 0xac,
+	0x0e, 0xe9, 0xe2, 0x7e, 0xba, 0xff, 0x02, 0x48, 0x1c, 0x1f, 0xb7, 0x66, 0xf3, 0x04, 0x12, 0x86,
+	0x37, 0x7e, 0x3a, 0x3d, 0xb2, 0xc1, 0xd7, 0x4d, 0x63, 0x7c, 0x3e, 0xb4, 0xed, 0x64, 0x14, 0xb2,
+	0x29, 0xaa, 0x77, 0xad, 0xc6, 0xa4, 0x21, 0x4d, 0x11, 0xff, 0xae, 0xc9, 0x77, 0x90, 0x2a, 0xc7,
+	0x4b, 0x16, 0xa3, 0x60, 0xb3, 0x01, 0xc1, 0x3c, 0x73, 0xb4, 0x73, 0x25, 0xdf, 0x40, 0x2c, 0x6a,
+	0x2e, 0x78, 0x96, 0xe0, 0x9b, 0x93, 0x81, 0x37, 0xab, 0x9a, 0x53, 0xe7, 0x94, 0xbf, 0x85, 0xe9,
+	0x41, 0x54, 0xfb, 0x19, 0x12, 0x88, 0x24, 0xd3, 0xc6, 0x37, 0x83, 0x36, 0x79, 0x0e, 0xa9, 0x6b,
+	0xc0, 0x2d, 0xc9, 0xc9, 0xd9, 0xa3, 0xa1, 0x25, 0x87, 0x1e, 0xb4, 0xf3, 0x3c, 0xfb, 0x3b, 0x82,
+	0xe8, 0x5c, 0x48, 0x49, 0x5e, 0x43, 0xe2, 0x16, 0x20, 0x99, 0xdf, 0xb3, 0x1b, 0x71, 0xa0, 0x66,
+	0x5f, 0xde, 0xbf, 0x3d, 0xc9, 0x2f, 0x90, 0xb8, 0x85, 0x36, 0x18, 0xeb, 0xc6, 0xae, 0x9b, 0x0d,
+	0x91, 0xd5, 0xad, 0xb2, 0x73, 0x48, 0xce, 0x59, 0x5d, 0x08, 0x49, 0x9e, 0x0c, 0x78, 0x5d, 0xaf,
+	0xc3, 0x8f, 0x05, 0xb9, 0x34, 0xcc, 0xb4, 0xfa, 0x53, 0x82, 0xbc, 0x82, 0x18, 0x97, 0x20, 0x79,
+	0x3a, 0xa4, 0x6d, 0x6f, 0x5d, 0xce, 0x9e, 0xdc, 0xed, 0x60, 0xa9, 0xf9, 0x19, 0x22, 0xfb, 0xa9,
+	0x92, 0x21, 0x0a, 0x7b, 0x0b, 0x63, 0xf6, 0xf8, 0xce, 0x7b, 0x1b, 0xe5, 0x02, 0x52, 0x3f, 0x0e,
+	0xe4, 0xab, 0x3b, 0x45, 0xee, 0xbe, 0xff, 0xd9, 0xd3, 0xfb, 0x5c, 0xb6, 0x72, 0xff, 0xd3, 0x8f,
+	0x7f, 0xfc, 0xf0, 0xbe, 0x34, 0x7f, 0xb5, 0xeb, 0x65, 0xd1, 0x6c, 0x4e, 0xfb, 0xce, 0x37, 0xc1,
+	0x5d, 0x7f, 0xf1, 0xeb, 0x04, 0x0f, 0x9e, 0xff, 0x1f, 0x00, 0x00, 0xff, 0xff, 0x1a, 0x6a, 0xf3,
+	0x33, 0x05, 0x08, 0x00, 0x00,
 }
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -291,3 +291,6 @@
 
 // Jobs gives the number of jobs known and of those not yet ended.
 func (e *Engine) Jobs() (known, live int) { return len(e.jobs), len(e.live) }
+
+// Workers gives the number of workers known.
+func (e *Engine) Workers() int { return len(e.order) }
