state/sched: look at no more workers than a step needs

Cause: each waiting step ranked all workers and looked through all kept room, up to 48 times in 8 ms; at 350 workers that took the leader's processor (first start after 496 ms at the median). Two of three log lines told nothing new.

--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -13,6 +13,8 @@
 	minAsked = 4
 	// askSlack is what a call may take beyond its computed time.
 	askSlack = 600 * time.Millisecond
+	// slowAdvice is the time beyond which an answer is logged.
+	slowAdvice = 200 * time.Millisecond
 	// askPause follows a call that failed.
 	askPause = 100 * time.Millisecond
 	// ticketMargin is left of a ticket's validity for the start to travel.
@@ -37,6 +39,7 @@
 	asking  bool
 	askedAt time.Time
 	pauseTo time.Time
+	heldOn  []*worker // room is kept there for the step
 	yieldAt time.Time // tasks of lower priority may be stopped again
 }
 
@@ -193,7 +196,9 @@
 	for _, w := range q.Workers {
 		e.noteAdvice(a, known, w, tickets, now.Add(valid-ticketMargin))
 	}
-	e.event("advised", id, 0, q.Caller, "", now.Sub(a.askedAt))
+	if age := now.Sub(a.askedAt); age > slowAdvice {
+		e.event("advised", id, 0, q.Caller, "", age)
+	}
 }
 
 // noteAdvice takes the answer about one worker; only the first one about it says
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -74,7 +74,7 @@
 	acks        map[*worker]ack
 	tickAt      time.Time
 	expireAt    time.Time
-	held        []held // room kept for steps that wait
+	holders     map[TaskID]time.Time // steps for which room is kept that does not suffice yet
 }
 
 // job is a job with what the engine derives from it.
@@ -94,7 +94,7 @@
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
 		p: p, began: now, jobs: map[string]*job{}, workers: map[string]*worker{}, callers: map[string]*caller{},
-		dirty: map[*job]bool{}, queues: map[string]*queueStat{}, acks: map[*worker]ack{},
+		dirty: map[*job]bool{}, queues: map[string]*queueStat{}, acks: map[*worker]ack{}, holders: map[TaskID]time.Time{},
 	}
 }
 
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -24,21 +24,23 @@
 type seat struct {
 	w    *worker
 	free work.Size
-	rank float64
-	fit  int // tasks of the step under decision that it can take
-	more int // further ones if tasks of lower priority give way
+	rank float64 // the lower the better, for any step
+	cost float64 // rank with what the step under decision adds
+	fit  int     // tasks of that step that it can take
+	more int     // further ones if tasks of lower priority give way
 }
 
 // pass is one round of decisions.
 type pass struct {
 	now    time.Time
-	seats  []*seat
+	seats  []*seat // best first
+	of     map[*worker]*seat
 	lowest int       // the lowest priority (highest number) of any job
 	most   work.Size // more than any seat has free in each resource
-	ranked int       // steps for which workers were ranked
+	ranked int       // steps for which workers were looked at
 }
 
-// maxRanked bounds the steps for which one pass ranks workers, so that a long
+// maxRanked bounds the steps for which one pass looks at workers, so that a long
 // queue costs no more than a short one; the pass after it goes on.
 const maxRanked = 48
 
@@ -50,6 +52,28 @@
 	}
 }
 
+// newPass gives the workers that are open for starts, best first.
+func (e *Engine) newPass(now time.Time) *pass {
+	p := &pass{now: now, of: make(map[*worker]*seat, len(e.order))}
+	for _, w := range e.order {
+		if !w.usable(now) {
+			continue
+		}
+		s := &seat{w: w, free: w.Capacity.Sub(w.used), rank: w.slow}
+		if w.Capacity.CPU > 0 {
+			s.rank += packWeight * float64(s.free.CPU) / float64(w.Capacity.CPU)
+		}
+		if w.samples >= tooSlowSamples && w.slow > tooSlow {
+			s.rank += tooSlow
+		}
+		p.seats = append(p.seats, s)
+		p.of[w] = s
+	}
+	sort.SliceStable(p.seats, func(i, k int) bool { return p.seats[i].rank < p.seats[k].rank })
+	p.widest()
+	return p
+}
+
 // Decide places what can start now and asks for the advice that is missing.
 func (e *Engine) Decide(now time.Time) {
 	if e.conf == nil {
@@ -59,14 +83,7 @@
 	if len(waiting) == 0 {
 		return
 	}
-	p := &pass{now: now}
-	for _, w := range e.order {
-		if w.usable(now) {
-			p.seats = append(p.seats, &seat{w: w, free: w.Capacity.Sub(w.used)})
-		}
-	}
-	p.widest()
-	e.expireHolds(now)
+	p := e.newPass(now)
 	for _, c := range waiting {
 		p.lowest = max(p.lowest, c.prio)
 	}
@@ -188,30 +205,17 @@
 	st := &c.j.Steps[c.step]
 	pol := e.policy(c.j)
 	p.ranked++
-	seats := e.rank(p, c, st, pol)
 	defer p.widest()
 	need := len(c.idle)
 	if !pol.Advice.Needed() {
+		seats := e.anySeats(p, c, st, pol, need)
 		if n := e.place(p, c, st, seats, nil); n < need {
 			e.makeRoom(p, c, st, seats, need-n)
 		}
 		return
 	}
 	a := c.j.stepAdvice(c.round.Number, c.step)
-	var ready, known, fresh []*seat
-	for _, s := range seats {
-		t, good := a.good[s.w.ID]
-		switch {
-		case a.bad[s.w.ID]:
-		case good && t.boot == s.w.boot && p.now.Before(t.to):
-			ready = append(ready, s)
-			known = append(known, s)
-		case good:
-			known = append(known, s)
-		default:
-			fresh = append(fresh, s)
-		}
-	}
+	ready, known := e.knownSeats(p, c, st, pol, a)
 	if need -= e.place(p, c, st, ready, a); need == 0 {
 		return
 	}
@@ -219,12 +223,12 @@
 	if a.asking {
 		return
 	}
-	if names := stale(p, a, chosen, st.Gang); len(names) > 0 {
-		e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names)
-		return
-	}
+	names := stale(p, a, chosen, st.Gang)
 	if len(chosen) == 0 {
-		e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, e.unknown(c, known, fresh, need, st.Gang))
+		names = e.unknown(p, c, st, pol, a, known, need)
+	}
+	if len(names) > 0 {
+		e.ask(p.now, c.j, c.round.Number, c.step, pol.Advice, names)
 	}
 }
 
@@ -250,22 +254,36 @@
 
 // unknown names workers to ask about for the first time: as many as should hold
 // the tasks that the known ones can't, by the queue's share of allowed workers.
-func (e *Engine) unknown(c candidate, known, fresh []*seat, need int, gang bool) []string {
+func (e *Engine) unknown(p *pass, c candidate, st *flow.Step, pol flow.Policy, a *stepAdvice, known []*seat, need int) []string {
 	room := 0.0
-	if gang {
+	if st.Gang {
 		// Asked about again once room comes free; what is missing is more workers.
 		for _, s := range known {
 			room += float64(s.fit + s.more)
 		}
 	}
 	share := max(e.queue(c.j.Queue).good, 0.05)
-	var names []string
-	for _, s := range fresh {
+	var names, full []string
+	for _, s := range p.seats {
 		if len(names) >= maxAsked || (room >= float64(need) && len(names) >= minAsked) {
-			break
+			return names
+		}
+		if _, ok := a.good[s.w.ID]; ok || a.bad[s.w.ID] || !e.look(p, c, st, pol, s) {
+			continue
+		}
+		if s.fit == 0 {
+			full = append(full, s.w.ID)
+			continue
 		}
 		names = append(names, s.w.ID)
-		room += float64(max(s.fit+s.more, 1)) * share
+		room += float64(s.fit) * share
+	}
+	for _, id := range full {
+		if len(names) >= maxAsked || room >= float64(need) {
+			break
+		}
+		names = append(names, id)
+		room += share
 	}
 	return names
 }
@@ -286,75 +304,94 @@
 	return size
 }
 
-// rank gives the workers that can take tasks of the step, best first.
-func (e *Engine) rank(p *pass, c candidate, st *flow.Step, pol flow.Policy) []*seat {
-	var out []*seat
+// look works out what a worker can take of the step; false if it never may.
+func (e *Engine) look(p *pass, c candidate, st *flow.Step, pol flow.Policy, s *seat) bool {
 	size := taskSize(st)
-	onWorker := map[string]int{}
-	if st.MaxPerWorker > 0 {
-		for i := range c.round.Steps[c.step] {
-			if t := &c.round.Steps[c.step][i]; t.Phase == flow.Placed {
-				onWorker[t.Worker]++
-			}
-		}
+	if s.w.Service != pol.Service || !size.Within(s.w.Capacity) || (st.Label != "" && !s.w.has(st.Label)) {
+		return false
 	}
 	// A task that failed goes elsewhere if it can, in case its worker is at fault.
-	failedOn, again := "", (*seat)(nil)
-	if t := &c.round.Steps[c.step][c.idle[0]]; t.Fails > 0 {
-		failedOn = t.Worker
+	if t := &c.round.Steps[c.step][c.idle[0]]; t.Fails > 0 && t.Worker == s.w.ID && len(p.seats) > 1 {
+		return false
 	}
+	most := len(c.idle)
+	if st.MaxPerWorker > 0 {
+		most = min(most, st.MaxPerWorker-placedOn(c, s.w))
+	}
+	s.fit, s.more, s.cost = fitCount(s.free.Sub(e.heldForOthers(p.now, s.w, c)), size, most), 0, s.rank
+	if st.DataRack != "" && s.w.Rack != st.DataRack {
+		s.cost += farWeight
+	}
+	return most > 0
+}
+
+// placedOn counts the tasks of the step on a worker.
+func placedOn(c candidate, w *worker) int {
+	n := 0
+	for i := range c.round.Steps[c.step] {
+		if t := &c.round.Steps[c.step][i]; t.Phase == flow.Placed && t.Worker == w.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// anySeats gives workers for a step that needs no tickets: those with room first,
+// as many as suffice.
+func (e *Engine) anySeats(p *pass, c candidate, st *flow.Step, pol flow.Policy, need int) []*seat {
+	var out, full []*seat
+	sum := 0
 	for _, s := range p.seats {
-		if s.w.Service != pol.Service || !size.Within(s.w.Capacity) || (st.Label != "" && !s.w.has(st.Label)) {
+		if !e.look(p, c, st, pol, s) {
 			continue
 		}
-		most := len(c.idle)
-		if st.MaxPerWorker > 0 {
-			most = min(most, st.MaxPerWorker-onWorker[s.w.ID])
-		}
-		free := s.free.Sub(e.heldForOthers(s.w, c))
-		s.fit = fitCount(free, size, most)
-		s.more = 0
-		if st.Gang && s.fit < most {
-			s.more = fitCount(free.Add(e.yielding(s.w, c)), size, most) - s.fit
-		}
-		if s.fit < most {
-			s.more = 0
-			if st.Gang && s.fit < most {
-				s.more = fitCount(free.Add(e.yielding(s.w, c)), size, most) - s.fit
-			}
-		}
-		if s.fit+s.more <= 0 {
+		if s.fit == 0 {
+			full = append(full, s)
 			continue
 		}
-		s.rank = s.w.slow
-		if s.w.Capacity.CPU > 0 {
-			s.rank += packWeight * float64(s.free.CPU) / float64(s.w.Capacity.CPU)
-		}
-		if st.DataRack != "" && s.w.Rack != st.DataRack {
-			s.rank += farWeight
-		}
-		if s.w.samples >= tooSlowSamples && s.w.slow > tooSlow {
-			s.rank += tooSlow
+		out = append(out, s)
+		// The order holds for any step, unless where it runs matters.
+		if sum += s.fit; sum >= need && st.DataRack == "" && !st.OneRack {
+			return out
 		}
-		if s.w.ID == failedOn {
-			again = s
+	}
+	return ordered(append(out, full...), c, st)
+}
+
+// knownSeats gives the workers that are known to be allowed, and those of them
+// whose tickets hold.
+func (e *Engine) knownSeats(p *pass, c candidate, st *flow.Step, pol flow.Policy, a *stepAdvice) (ready, known []*seat) {
+	for id := range a.good {
+		w := e.workers[id]
+		if w == nil {
 			continue
 		}
-		out = append(out, s)
+		if s := p.of[w]; s != nil && e.look(p, c, st, pol, s) {
+			known = append(known, s)
+		}
 	}
-	if len(out) == 0 && again != nil {
-		out = append(out, again)
+	sort.Slice(known, func(i, k int) bool { return known[i].w.ID < known[k].w.ID })
+	known = ordered(known, c, st)
+	for _, s := range known {
+		if t := a.good[s.w.ID]; t.boot == s.w.boot && p.now.Before(t.to) && s.fit > 0 {
+			ready = append(ready, s)
+		}
 	}
-	sort.SliceStable(out, func(i, k int) bool {
-		if (out[i].fit > 0) != (out[k].fit > 0) {
-			return out[i].fit > 0
+	return ready, known
+}
+
+// ordered sorts seats: those with room first, the best first.
+func ordered(seats []*seat, c candidate, st *flow.Step) []*seat {
+	sort.SliceStable(seats, func(i, k int) bool {
+		if (seats[i].fit > 0) != (seats[k].fit > 0) {
+			return seats[i].fit > 0
 		}
-		return out[i].rank < out[k].rank
+		return seats[i].cost < seats[k].cost
 	})
 	if st.OneRack {
-		out = oneRackFirst(out, len(c.idle))
+		return oneRackFirst(seats, len(c.idle))
 	}
-	return out
+	return seats
 }
 
 func (w *worker) has(label string) bool {
@@ -390,7 +427,7 @@
 	for _, s := range seats {
 		n := min(s.fit, need-fit[s.w.Rack])
 		fit[s.w.Rack] += n
-		sum[s.w.Rack] += float64(n) * s.rank
+		sum[s.w.Rack] += float64(n) * s.cost
 	}
 	best, bestRank := "", math.Inf(1)
 	for rack, n := range fit {
--- a/internal/state/sched/room.go
+++ b/internal/state/sched/room.go
@@ -23,7 +23,6 @@
 
 // held is room on a worker that is kept for a step.
 type held struct {
-	w    *worker
 	step TaskID // of the step; Index is 0
 	prio int    // of its queue
 	size work.Size
@@ -34,39 +33,42 @@
 	return TaskID{Job: c.j.ID, Round: c.round.Number, Step: c.step}
 }
 
-func (e *Engine) expireHolds(now time.Time) {
-	kept := e.held[:0]
-	for _, h := range e.held {
-		if now.Before(h.to) {
-			kept = append(kept, h)
-		}
-	}
-	e.held = kept
-}
-
 // heldForOthers gives the room of a worker that is kept for other steps of at
 // least the same priority; short urgent tasks pass a gang that waits.
-func (e *Engine) heldForOthers(w *worker, c candidate) work.Size {
+func (e *Engine) heldForOthers(now time.Time, w *worker, c candidate) work.Size {
 	var sum work.Size
+	if len(w.held) == 0 {
+		return sum
+	}
 	id := c.stepID()
-	for _, h := range e.held {
-		if h.w == w && h.step != id && h.prio <= c.prio {
+	kept := w.held[:0]
+	for _, h := range w.held {
+		if !now.Before(h.to) {
+			continue
+		}
+		kept = append(kept, h)
+		if h.step != id && h.prio <= c.prio {
 			sum = sum.Add(h.size)
 		}
 	}
+	w.held = kept
 	return sum
 }
 
 // release gives up the room that is kept for a step.
 func (e *Engine) release(c candidate) {
 	id := c.stepID()
-	kept := e.held[:0]
-	for _, h := range e.held {
-		if h.step != id {
-			kept = append(kept, h)
+	delete(e.holders, id)
+	a := c.j.stepAdvice(c.round.Number, c.step)
+	for _, w := range a.heldOn {
+		for i := range w.held {
+			if w.held[i].step == id {
+				w.held = append(w.held[:i], w.held[i+1:]...)
+				break
+			}
 		}
 	}
-	e.held = kept
+	a.heldOn = nil
 }
 
 // yields reports whether a run may be stopped for a step of that priority: it
@@ -96,10 +98,13 @@
 func (e *Engine) makeRoom(p *pass, c candidate, st *flow.Step, seats []*seat, need int) []*seat {
 	sum := 0
 	for _, s := range seats {
+		if sum < need {
+			e.lookFurther(p, c, st, s)
+		}
 		sum += s.fit + s.more
 	}
 	if sum == 0 || (st.Gang && sum < need) {
-		if st.Gang && sum > 0 && e.holders() < maxHolders {
+		if st.Gang && sum > 0 && e.mayHold(p.now, c) {
 			e.keep(p, c, st, seats, need)
 		}
 		return nil
@@ -143,29 +148,50 @@
 	}
 }
 
-// holders gives the number of steps for which room is kept.
-func (e *Engine) holders() int {
-	steps := map[TaskID]bool{}
-	for _, h := range e.held {
-		steps[h.step] = true
+// lookFurther works out what a worker could take if tasks gave way.
+func (e *Engine) lookFurther(p *pass, c candidate, st *flow.Step, s *seat) {
+	most := len(c.idle)
+	if st.MaxPerWorker > 0 {
+		most = min(most, st.MaxPerWorker-placedOn(c, s.w))
+	}
+	if s.fit >= most || c.prio >= p.lowest {
+		return
+	}
+	free := s.free.Sub(e.heldForOthers(p.now, s.w, c)).Add(e.yielding(s.w, c))
+	s.more = max(fitCount(free, taskSize(st), most)-s.fit, 0)
+}
+
+// mayHold reports whether room may be kept for one more step that it does not
+// suffice for yet.
+func (e *Engine) mayHold(now time.Time, c candidate) bool {
+	for id, to := range e.holders {
+		if !now.Before(to) {
+			delete(e.holders, id)
+		}
 	}
-	return len(steps)
+	if _, ok := e.holders[c.stepID()]; !ok && len(e.holders) >= maxHolders {
+		return false
+	}
+	e.holders[c.stepID()] = now.Add(holdFor)
+	return true
 }
 
 func (e *Engine) holdRoom(p *pass, c candidate, s *seat, size work.Size) {
 	id := c.stepID()
-	for i := range e.held {
-		if e.held[i].w == s.w && e.held[i].step == id {
-			e.held[i].size, e.held[i].to = size, p.now.Add(holdFor)
+	for i := range s.w.held {
+		if s.w.held[i].step == id {
+			s.w.held[i].size, s.w.held[i].to = size, p.now.Add(holdFor)
 			return
 		}
 	}
-	e.held = append(e.held, held{w: s.w, step: id, prio: c.prio, size: size, to: p.now.Add(holdFor)})
+	s.w.held = append(s.w.held, held{step: id, prio: c.prio, size: size, to: p.now.Add(holdFor)})
+	a := c.j.stepAdvice(c.round.Number, c.step)
+	a.heldOn = append(a.heldOn, s.w)
 }
 
 // stopFor stops runs of lower priority on a worker until size would fit.
 func (e *Engine) stopFor(now time.Time, c candidate, s *seat, size work.Size) {
-	free := s.free.Sub(e.heldForOthers(s.w, c))
+	free := s.free.Sub(e.heldForOthers(now, s.w, c))
 	var victims []*run
 	for _, r := range s.w.list() {
 		if r.stopping != "" {
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -12,6 +12,9 @@
 	// maxStartTries bounds repeats of a start that got no answer; a worker that
 	// answers late answers a repeat at once as often as not.
 	maxStartTries = 4
+	// slowStart is the time from the decision beyond which a start is logged by
+	// itself: several appends and calls.
+	slowStart = 150 * time.Millisecond
 	// stopRetry is the pause between two tries of a stop that got no answer, and
 	// stopRetrySilent the same for a worker that does not answer holds either.
 	stopRetry       = 400 * time.Millisecond
@@ -164,8 +167,8 @@
 	r.calls--
 	switch a {
 	case AnswerOK:
-		if !r.confirmed {
-			e.event("started", r.id, r.n, r.w.ID, "", now.Sub(r.placedAt))
+		if age := now.Sub(r.placedAt); !r.confirmed && age > slowStart {
+			e.event("started", r.id, r.n, r.w.ID, "", age)
 		}
 		r.unsure = false
 		e.confirm(now, r)
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -49,7 +49,7 @@
 	runs   map[TaskID]*run
 	used   work.Size // by runs that are not known to have ended
 	strays int       // runs listed there that are not ours
-	load   int       // count of runs
+	held   []held    // room kept for steps that wait
 
 	clock   time.Duration // of the worker, at clockAt
 	clockAt time.Time     // zero before the first answer
