--- a/internal/coordination/core/core_test.go
+++ b/internal/coordination/core/core_test.go
@@ -41,6 +41,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	specs map[string]*flow.Spec
+	mute  map[string]bool // instances that don't answer their peers
 }
 
 // at gives an instance's core, nil if its process is gone.
@@ -75,13 +76,16 @@
 }
 
 // playOn plays in virtual time and gives the promises that were broken.
-func playOn(t *testing.T, instances int, body func(s *site)) (broken []string) {
+func playOn(t *testing.T, instances int, body func(s *site), edits ...func(s *site)) (broken []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &site{t: t, is: is.New(t), store: store.New(1), nodes: map[string]*node{}, specs: map[string]*flow.Spec{}}
+		s := &site{t: t, is: is.New(t), store: store.New(1), nodes: map[string]*node{}, specs: map[string]*flow.Spec{}, mute: map[string]bool{}}
 		s.conf = &flow.Config{Version: 1, Services: map[string]flow.Service{service: {}}}
 		s.conf.Queues = []flow.Queue{{Name: "q", Prefix: "/q/", Policy: flow.Policy{Service: service, MaxAttempts: 3, Stretch: 2, SlackMs: 1000}}}
 		s.fleet = fleet.New(6, work.Size{CPU: 16000, Memory: 64000}, service, leaseMax, s.lookup)
+		for _, edit := range edits {
+			edit(s)
+		}
 		for i := range instances {
 			s.start(fmt.Sprintf("e%d", i))
 		}
@@ -121,7 +125,7 @@
 		Params: sched.Params{LeaseMax: leaseMax, LeaderMax: 4 * time.Second, GangWait: 3 * time.Second, KeepFor: 120 * time.Second, Heartbeat: 1500 * time.Millisecond},
 		Log:    s.store.Log(name), Config: s.configLog(), DecodeConfig: func(r ledger.Record) (*flow.Config, error) { return s.conf, nil },
 		Workers: s.fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(began) },
-		Logger: zerolog.Nop(), Meter: meter.New(),
+		Logger: zerolog.Nop(), Meter: meter.New(), Relay: s.relay(),
 		Peers: core.Peers{
 			Submit: func(ctx context.Context, addr string, sp *flow.Spec) error {
 				if c := s.at(addr); c != nil {
--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
@@ -41,6 +42,13 @@
 	helpers map[string]*helper // by name
 	names   []string           // of those that can help now
 	namesAt time.Time
+	avoid   map[string]avoided // by worker
+}
+
+// avoided are helpers through which a worker did not answer.
+type avoided struct {
+	tries int
+	last  string
 }
 
 type pendingOrder struct {
@@ -58,11 +66,12 @@
 
 func (c *Core) newRelaying() relaying {
 	ctx, stop := context.WithCancel(c.ctx)
-	return relaying{ctx: ctx, stop: stop, pending: map[uint64]pendingOrder{}, helpers: map[string]*helper{}}
+	return relaying{ctx: ctx, stop: stop, pending: map[uint64]pendingOrder{}, helpers: map[string]*helper{}, avoid: map[string]avoided{}}
 }
 
 // helperFor gives the instance that carries orders to a worker, "" for this one.
-// The same worker keeps its helper as long as the helpers stay the same.
+// The same worker keeps its helper as long as the helpers stay the same and it
+// answers through that one.
 func (c *Core) helperFor(now time.Time, worker string) string {
 	r := &c.relay
 	if c.engine.Workers() <= directWorkers {
@@ -84,9 +93,13 @@
 		}
 		sort.Strings(r.names)
 	}
-	best, most := "", uint32(0)
+	bad := r.avoid[worker]
+	best, most, try := "", uint32(0), strconv.Itoa(bad.tries)
 	for _, name := range r.names {
-		if h := hash32(name, worker); best == "" || h > most {
+		if name == bad.last && len(r.names) > 1 {
+			continue
+		}
+		if h := hash32(name, worker, try); best == "" || h > most {
 			best, most = name, h
 		}
 	}
@@ -167,9 +180,12 @@
 	case sched.OrderHold:
 		if a.Answer == sched.AnswerOK {
 			c.engine.Held(now, p.order, a.Report)
-		} else {
-			c.engine.HoldFailed(now, p.order, a.Answer, took)
+			return
+		}
+		if p.helper != "" {
+			c.relay.avoid[p.order.Worker] = avoided{tries: c.relay.avoid[p.order.Worker].tries + 1, last: p.helper}
 		}
+		c.engine.HoldFailed(now, p.order, a.Answer, took)
 	}
 }
 
