--- a/internal/coordination/core/faults_test.go
+++ b/internal/coordination/core/faults_test.go
@@ -41,7 +41,7 @@
 			})
 		}
 		var broken []string
-		broken = append(playOn(t, 4, func(s *site) { broken = s.walk(plan) }), broken...)
+		broken = append(playOn(t, 4, 6, func(s *site) { broken = s.walk(plan) }), broken...)
 		if len(broken) > 0 {
 			rt.Fatalf("broken: %v", broken)
 		}
@@ -67,13 +67,13 @@
 		for range m.jobs {
 			st := tasks(m.tasks, m.ms)
 			st.Gang = m.gang
-			sp := s.job(fmt.Sprintf("j%d", n), st)
+			sp := s.Job(fmt.Sprintf("j%d", n), "q", st)
 			n++
-			names := s.names()
+			names := s.Names()
 			if len(names) == 0 {
 				continue
 			}
-			c := s.at(names[(m.at+n)%len(names)])
+			c := s.At(names[(m.at+n)%len(names)])
 			wg.Go(func() {
 				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 				defer cancel()
@@ -89,13 +89,13 @@
 	time.Sleep(8 * time.Second)
 	wg.Wait()
 	for i := range 4 {
-		if name := fmt.Sprintf("e%d", i); s.at(name) == nil {
-			s.start(name)
+		if name := fmt.Sprintf("e%d", i); s.At(name) == nil {
+			s.Start(name)
 		}
 	}
 	time.Sleep(60 * time.Second)
 	for id, err := range told {
-		stored := s.store.Get("j/"+id) != nil
+		stored := s.Store.Get("j/"+id) != nil
 		switch {
 		case err == nil && !stored:
 			broken = append(broken, id+" was accepted and is not stored")
@@ -105,8 +105,8 @@
 		if !stored {
 			continue
 		}
-		for _, name := range s.names() {
-			if st := s.state(name, id); st != "complete" && st != "canceled" {
+		for _, name := range s.Names() {
+			if st := s.State(name, id); st != "complete" && st != "canceled" {
 				broken = append(broken, fmt.Sprintf("%s is shown as %s by %s", id, st, name))
 			}
 		}
@@ -115,28 +115,28 @@
 }
 
 func (s *site) fault(m siteMove) {
-	names := s.names()
+	names := s.Names()
 	if len(names) == 0 {
 		return
 	}
-	one, lead := names[m.at%len(names)], s.leader()
+	one, lead := names[m.at%len(names)], s.Leader()
 	if lead == "" {
 		lead = one
 	}
 	down := func(name string) {
-		if s.at(name) == nil {
+		if s.At(name) == nil {
 			return
 		}
-		s.kill(name)
+		s.Kill(name)
 		time.AfterFunc(m.lasts/2, func() {
-			if s.at(name) == nil {
-				s.start(name)
+			if s.At(name) == nil {
+				s.Start(name)
 			}
 		})
 	}
 	trouble := func(client string, t store.Trouble) {
-		s.store.Set(client, t)
-		time.AfterFunc(m.lasts, func() { s.store.Set(client, store.Fine) })
+		s.Store.Set(client, t)
+		time.AfterFunc(m.lasts, func() { s.Store.Set(client, store.Fine) })
 	}
 	switch m.fault {
 	case "leader killed":
@@ -160,20 +160,20 @@
 	case "leader cut from store":
 		trouble(lead, store.Silent)
 	case "leader cut from workers":
-		s.fleet.Cut(lead, true)
-		time.AfterFunc(m.lasts, func() { s.fleet.Cut(lead, false) })
+		s.Fleet.Cut(lead, true)
+		time.AfterFunc(m.lasts, func() { s.Fleet.Cut(lead, false) })
 	case "worker crashed":
-		s.fleet.Crash(fmt.Sprintf("w%02d", m.at%6), max(m.lasts, 2*time.Second))
+		s.Fleet.Crash(fmt.Sprintf("w%02d", m.at%6), max(m.lasts, 2*time.Second))
 	case "records expire":
-		s.store.Expire()
+		s.Store.Expire()
 	case "resign":
-		if c := s.at(lead); c != nil {
+		if c := s.At(lead); c != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 			defer cancel()
 			c.Leave(ctx)
 		}
 	case "cancel":
-		if c := s.at(one); c != nil {
+		if c := s.At(one); c != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
 			_ = c.CancelAnywhere(ctx, fmt.Sprintf("j%d", m.at%10)) // refusals are part of the trouble
