--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -39,7 +39,11 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	return &cellpb.AdviseReply{Tickets: a.Tickets, ValidMs: a.Valid.Milliseconds()}, nil
+	r := &cellpb.AdviseReply{ValidMs: a.Valid.Milliseconds()}
+	for w, v := range a.Tickets {
+		r.Tickets = append(r.Tickets, &cellpb.Ticket{Worker: w, Value: v})
+	}
+	return r, nil
 }
 
 // Submit takes a job in for a peer.
@@ -110,7 +114,11 @@
 	if err != nil {
 		return core.Advice{}, errs.At("ask for advice", addr, err)
 	}
-	return core.Advice{Tickets: r.Tickets, Valid: time.Duration(r.ValidMs) * time.Millisecond}, nil
+	a := core.Advice{Tickets: make(map[string]string, len(r.Tickets)), Valid: time.Duration(r.ValidMs) * time.Millisecond}
+	for _, t := range r.Tickets {
+		a.Tickets[t.Worker] = t.Value
+	}
+	return a, nil
 }
 
 // Submit hands a job to the instance at addr.
--- /dev/null
+++ b/internal/protocol/cellpb/cell_test.go
@@ -0,0 +1,12 @@
+package cellpb_test
+
+import (
+	"testing"
+
+	"github.com/tamaracklink/tamaracklink/internal/protocol/cellpb"
+	"github.com/tamaracklink/tamaracklink/internal/testing/check"
+)
+
+func TestGeneratedUpToDate(t *testing.T) {
+	check.Generated(t, "cell.proto", cellpb.File_internal_protocol_cellpb_cell_proto)
+}
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -64,7 +64,7 @@
 func New(sh Shape) *Site {
 	s := &Site{
 		Store: store.New(1), log: sh.Logger, nodes: map[string]*node{}, specs: map[string]*flow.Spec{}, mute: map[string]bool{},
-		conf: &flow.Config{Version: 1, Services: map[string]flow.Service{sh.Service: {}}, Queues: sh.Queues},
+		conf: &flow.Config{Version: 1, Queues: sh.Queues},
 	}
 	s.Fleet = fleet.New(sh.Workers, sh.Capacity, sh.Service, LeaseMax, s.lookup)
 	return s
@@ -94,7 +94,7 @@
 	s.mu.Unlock()
 	c := core.New(core.Settings{
 		Instance: name, Life: life, Domain: "d", Addr: name,
-		Params: sched.Params{LeaseMax: LeaseMax, LeaderMax: 4 * time.Second, GangWait: 3 * time.Second, KeepFor: 120 * time.Second, Heartbeat: 1500 * time.Millisecond},
+		Params: sched.Params{LeaseMax: LeaseMax, LeaderMax: 4 * time.Second, KeepFor: 120 * time.Second},
 		Log:    s.Store.Log(name), Config: s.configLog(),
 		DecodeConfig: func(ledger.Record) (*flow.Config, error) { return s.conf, nil },
 		Workers:      s.Fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(began) },
--- a/internal/state/flow/policy.go
+++ b/internal/state/flow/policy.go
@@ -14,16 +14,9 @@
 type Config struct {
 	Version      int64
 	Queues       []Queue
-	Services     map[string]Service
 	MaxBodyBytes int64
 }
 
-// Service is a pool of workers.
-type Service struct {
-	Guards  bool // its workers refuse what does not fit
-	Standby bool // its machines are off
-}
-
 // Find gives the queue with the longest prefix that path begins with, or nil.
 func (c *Config) Find(host, path string) *Queue {
 	var best *Queue
--- a/internal/state/sched/bench_test.go
+++ b/internal/state/sched/bench_test.go
@@ -46,7 +46,7 @@
 // benchEngine gives an engine with n workers, each half full of lasting tasks.
 func benchEngine(n int) (*Engine, time.Time) {
 	now := time.UnixMilli(1_700_000_000_000)
-	e := New(Params{LeaseMax: 6 * time.Second, LeaderMax: 4 * time.Second, GangWait: 3 * time.Second, KeepFor: 2 * time.Minute, Heartbeat: time.Second}, now)
+	e := New(Params{LeaseMax: 6 * time.Second, LeaderMax: 4 * time.Second, KeepFor: 2 * time.Minute}, now)
 	e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q2", Policy: flow.Policy{Service: simService, MaxAttempts: 3}}}})
 	var list []WorkerInfo
 	for i := range n {
--- a/internal/state/sched/ends.go
+++ b/internal/state/sched/ends.go
@@ -172,11 +172,11 @@
 	case r.inherited:
 		// Orders of earlier leaders are refused since this leader's hold.
 		e.void(now, r, "never started")
-	case r.stopAcked && serial > r.stopped0:
+	case r.stopAcked && serial > r.stoppedSerial:
 		e.void(now, r, "stopped before it started")
 	case r.unsure:
 		e.tickRun(now, r)
-	case r.confirmed && serial > r.confirmed0:
+	case r.confirmed && serial > r.confirmedSerial:
 		e.void(now, r, "the worker lost it")
 	}
 }
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -49,9 +49,7 @@
 type Params struct {
 	LeaseMax  time.Duration // longest lease that workers grant
 	LeaderMax time.Duration // how long a leader renews leases after its last confirmed record
-	GangWait  time.Duration // how long a gang's member waits for the others
 	KeepFor   time.Duration // how long the state of an ended job is told
-	Heartbeat time.Duration // between two entries of a worker in the list
 }
 
 // Engine is the leader's state. Its methods are called from one goroutine.
@@ -86,7 +84,6 @@
 	advice   map[int]map[int]*stepAdvice
 	runs     int // runs that are not known to have ended
 	objMs    int64
-	inLive   bool
 	blockTil time.Time // retry pause after refused starts
 }
 
@@ -130,7 +127,6 @@
 		}
 	}
 	if !j.State.Final() || j.runs > 0 {
-		j.inLive = true
 		e.live = append(e.live, j)
 	}
 	if fj.Canceled {
@@ -205,7 +201,6 @@
 	kept := e.live[:0]
 	for _, j := range e.live {
 		if j.State.Final() && j.runs == 0 {
-			j.inLive = false
 			continue
 		}
 		kept = append(kept, j)
@@ -285,7 +280,7 @@
 		w.nextHold = now
 	}
 	for _, r := range b.starts {
-		e.order1(now, r)
+		e.sendRecorded(now, r)
 	}
 }
 
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -37,17 +37,17 @@
 	tries     int
 	unsure    bool // a start got no answer
 
-	confirmed  bool // the worker accepted or listed it
-	startedAt  time.Time
-	confirmed0 uint64 // holds issued up to the confirmation
+	confirmed       bool // the worker accepted or listed it
+	startedAt       time.Time
+	confirmedSerial uint64 // holds issued up to the confirmation
 
-	stopping  string // the reason for a stop, empty for none
-	stopAt    time.Time
-	stopAcked bool
-	stopped0  uint64 // holds issued up to the stop's answer
-	checkNext bool   // the next hold must answer at once
-	ticket    string
-	ticketTo  time.Time
+	stopping      string // the reason for a stop, empty for none
+	stopAt        time.Time
+	stopAcked     bool
+	stoppedSerial uint64 // holds issued up to the stop's answer
+	checkNext     bool   // the next hold must answer at once
+	ticket        string
+	ticketTo      time.Time
 }
 
 func (e *Engine) newRun(now time.Time, j *job, id TaskID, t *flow.Task, w *worker) *run {
@@ -73,8 +73,8 @@
 	}
 }
 
-// order1 sends the start of a run whose record is stored.
-func (e *Engine) order1(now time.Time, r *run) {
+// sendRecorded sends the start of a run whose record is stored.
+func (e *Engine) sendRecorded(now time.Time, r *run) {
 	switch {
 	case r.stopping != "":
 		e.void(now, r, "not ordered: "+r.stopping)
@@ -197,7 +197,7 @@
 		r.job.State = flow.Active
 		e.dirty[r.job] = true
 	}
-	r.confirmed0 = e.holds
+	r.confirmedSerial = e.holds
 }
 
 func (e *Engine) refused(now time.Time, r *run, a Answer) {
@@ -234,7 +234,7 @@
 	r.calls--
 	switch a {
 	case AnswerOK, AnswerOld:
-		r.stopAcked, r.stopped0 = true, e.holds
+		r.stopAcked, r.stoppedSerial = true, e.holds
 		r.checkNext = true
 		r.w.nextHold = now
 	case AnswerFenced:
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -90,7 +90,6 @@
 	id    TaskID
 	n     int
 	size  work.Size
-	endAt time.Time
 	gang  bool
 	since time.Time
 	alive bool
@@ -127,15 +126,18 @@
 
 const simService = "svc"
 
+// simGangWait is how long a gang's member waits for the others.
+const simGangWait = 3 * time.Second
+
 // newSim gives a site of n workers of 32 cores in racks of 8.
 func newSim(t *testing.T, seed uint64, n int) *sim {
 	s := &sim{
 		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000),
-		params: Params{LeaseMax: 6 * time.Second, LeaderMax: 4 * time.Second, GangWait: 3 * time.Second, KeepFor: 120 * time.Second, Heartbeat: 1500 * time.Millisecond},
+		params: Params{LeaseMax: 6 * time.Second, LeaderMax: 4 * time.Second, KeepFor: 120 * time.Second},
 		store:  map[string]*stored{}, workers: map[string]*simWorker{}, good: 1,
 		started: map[TaskID]bool{}, doneRuns: map[TaskID]bool{}, everDone: map[TaskID]bool{}, fails: map[TaskID]int{},
 	}
-	s.conf = &flow.Config{Version: 1, Services: map[string]flow.Service{simService: {}}}
+	s.conf = &flow.Config{Version: 1}
 	for i, adv := range []flow.Advice{{CallMs: 300, WorkerMs: 4, ValidMs: 1500}, {CallMs: 50, WorkerMs: 0.7, ValidMs: 1500}, {}} {
 		s.conf.Queues = append(s.conf.Queues, flow.Queue{Name: fmt.Sprintf("q%d", i), Policy: flow.Policy{
 			Service: simService, Priority: i, MaxAttempts: 3, Stretch: 2, SlackMs: 1000, Advice: adv,
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -157,7 +157,7 @@
 
 // gangWait makes the members of a gang work once all are there.
 func (s *sim) gangWait(w *simWorker, r *simRun, step *flow.Step, took time.Duration) {
-	s.after(s.params.GangWait, func() {
+	s.after(simGangWait, func() {
 		if !r.alive {
 			return
 		}
