--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -144,9 +144,23 @@
 	return ok && m.Life != o.Life
 }
 
-// rank spreads the instances' bids over time, anew for each term.
+// rank spreads the instances' bids over time, anew for each term. Instances on
+// larger machines come first.
 func (c *Core) rank() time.Duration {
-	return time.Duration(hash32(c.set.Life, strconv.FormatInt(c.lead.term, 10)) % rankSteps)
+	larger := 0
+	for _, m := range c.members {
+		if m.Cores > c.set.Cores {
+			larger++
+		}
+	}
+	step := hash32(c.set.Life, strconv.FormatInt(c.lead.term, 10)) % rankSteps
+	return time.Duration(rankSteps*sizeClass(larger, len(c.members))) + time.Duration(step)
+}
+
+// sizeClass gives 0 for the largest quarter of the instances, up to 3 for the
+// smallest.
+func sizeClass(larger, all int) int {
+	return 4 * larger / max(all, 1)
 }
 
 func hash32(parts ...string) uint32 {
--- a/internal/coordination/core/records.go
+++ b/internal/coordination/core/records.go
@@ -33,6 +33,8 @@
 	Addr   string `json:"addr"`
 	Domain string `json:"domain"`
 	Life   string `json:"life"`
+	// Cores is its share of a processor: a leader needs more than others.
+	Cores float64 `json:"cores"`
 }
 
 func encodeRecord(key string, v any) (ledger.Record, error) {
