--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -217,14 +217,14 @@
 	})
 }
 
-func (s *site) readyz(w http.ResponseWriter, _ *http.Request) {
+func (s *site) readyz(w http.ResponseWriter, r *http.Request) {
 	select {
 	case <-s.leaving:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	default:
 	}
-	if !s.core.Ready() {
+	if !s.core.Serves(r.Context()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -30,9 +30,9 @@
 // Config gives the configuration in force, nil before the first.
 func (c *Core) Config() *flow.Config { return c.config.Load() }
 
-// Ready reports whether this instance can serve callers.
+// Ready reports whether this instance can serve callers by itself.
 func (c *Core) Ready() bool {
-	return c.config.Load() != nil && c.ready.Load() && c.reads.Load() && c.intake.Healthy()
+	return c.config.Load() != nil && c.ready.Load() && c.storeWell()
 }
 
 // Leads reports whether this instance leads.
--- a/internal/coordination/core/core_test.go
+++ b/internal/coordination/core/core_test.go
@@ -203,6 +203,30 @@
 	})
 }
 
+// TestWithoutStore checks that an instance that has lost the store serves through
+// its peers: it takes jobs in and shows what has become of them.
+func TestWithoutStore(t *testing.T) {
+	for _, trouble := range []store.Trouble{store.Silent, store.Busy} {
+		t.Run(fmt.Sprint(trouble), func(t *testing.T) {
+			play(t, 3, func(s *site) {
+				is := s.is
+				one := s.Follower()
+				is.NoErr(s.Submit(one, s.Job("before", "q", tasks(2, 2500))))
+				time.Sleep(500 * time.Millisecond)
+				s.Store.Set(one, trouble)
+				time.Sleep(2 * time.Second)
+				is.True(!s.At(one).Ready())
+				is.True(s.At(one).Serves(context.Background()))
+				is.NoErr(s.Submit(one, s.Job("within", "q", tasks(2, 200))))
+				time.Sleep(2 * time.Second)
+				s.wantState("before", "complete")
+				s.wantState("within", "complete")
+				is.Equal(s.State(one, "nobody"), "no such job")
+			})
+		})
+	}
+}
+
 // TestOtherWriters checks that records that can't be read stop nobody.
 func TestOtherWriters(t *testing.T) {
 	play(t, 2, func(s *site) {
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -34,7 +34,7 @@
 // a peer that may reach the store.
 func (c *Core) SubmitAnywhere(ctx context.Context, s *flow.Spec) error {
 	err := ErrNotRun
-	if c.intake.Healthy() {
+	if c.storeWell() {
 		err = c.Submit(ctx, s)
 	}
 	return c.handOver(ctx, "submit", s.ID, err, func(ctx context.Context, addr string) error {
@@ -46,9 +46,16 @@
 	})
 }
 
+// storeWell reports whether the store has lately been read and written from here.
+// An append that it does not answer leaves a caller with an unknown outcome.
+func (c *Core) storeWell() bool { return c.reads.Load() && c.intake.Healthy() }
+
 // CancelAnywhere is SubmitAnywhere for cancelling.
 func (c *Core) CancelAnywhere(ctx context.Context, id string) error {
-	err := c.Cancel(ctx, id)
+	err := ErrNotRun
+	if c.storeWell() {
+		err = c.Cancel(ctx, id)
+	}
 	return c.handOver(ctx, "cancel", id, err, func(ctx context.Context, addr string) error {
 		err := c.set.Peers.Cancel(ctx, addr, id)
 		if err == nil {
@@ -58,9 +65,13 @@
 	})
 }
 
-// StatusAnywhere is SubmitAnywhere for a job's state.
+// StatusAnywhere is SubmitAnywhere for a job's state. An instance that can't read
+// the ledger asks a peer also about a job that it knows, as its state may be old.
 func (c *Core) StatusAnywhere(ctx context.Context, id string) (flow.Status, error) {
 	st, err := c.Status(ctx, id)
+	if err == nil && !st.State.Final() && !c.reads.Load() {
+		return c.newerStatus(ctx, id, st), nil
+	}
 	err = c.handOver(ctx, "status", id, err, func(ctx context.Context, addr string) error {
 		var err error
 		st, err = c.set.Peers.Status(ctx, addr, id)
@@ -69,6 +80,40 @@
 	return st, err
 }
 
+// newerStatus gives a job's state as a peer that reads the ledger knows it, or
+// the given one if there is none.
+func (c *Core) newerStatus(ctx context.Context, id string, st flow.Status) flow.Status {
+	for _, p := range c.handoverPeers() {
+		if !c.peerReady(ctx, p) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		newer, err := c.set.Peers.Status(ctx, p, id)
+		cancel()
+		if err == nil {
+			return newer
+		}
+	}
+	return st
+}
+
+// Serves reports whether this instance can serve callers, itself or through a
+// peer that it reaches.
+func (c *Core) Serves(ctx context.Context) bool {
+	if c.config.Load() == nil || !c.ready.Load() {
+		return false
+	}
+	if c.Ready() {
+		return true
+	}
+	for _, p := range c.handoverPeers() {
+		if c.peerReady(ctx, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // handOver calls peers as long as the call has certainly not been carried out.
 func (c *Core) handOver(ctx context.Context, what, id string, err error, call func(ctx context.Context, addr string) error) error {
 	if !errors.Is(err, ErrNotRun) {
