--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -48,6 +49,7 @@
 func runSite(ctx context.Context, args []string, io IO) error {
 	f := newFlags("site", "run an instance on the platform, by the settings file that "+platform.SettingsEnv+" names", io)
 	level := f.String("log-level", "info", "debug, info, warn or error")
+	port := f.Int("metrics-port", 9464, "`port` of the metrics page on the instance's address; deploy/system.toml names the same")
 	if err := f.Parse(args); err != nil {
 		return usageError(err)
 	}
@@ -72,6 +74,7 @@
 	logger := zerolog.New(out).Level(lv).With().Timestamp().Str("instance", set.Instance).Logger()
 	log.SetFlags(0)
 	log.SetOutput(logger.Sample(&zerolog.BurstSampler{Burst: 5, Period: time.Second}).With().Str("part", "http").Logger())
+	set.Metrics = net.JoinHostPort(set.IP, strconv.Itoa(*port))
 	s, err := newSite(set, logger)
 	if err != nil {
 		return err
--- a/internal/command/oper/site_test.go
+++ b/internal/command/oper/site_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -126,7 +127,7 @@
 		stop: stop, done: make(chan error, 1), log: &bytes.Buffer{}, mu: &sync.Mutex{},
 	}
 	sio := IO{In: strings.NewReader(""), Out: i, Err: i, Env: []string{"TAMARACKLINK_NODE_FILE=" + file}}
-	go func() { i.done <- runSite(ctx, nil, sio) }()
+	go func() { i.done <- runSite(ctx, []string{"-metrics-port", strconv.Itoa(ports + 1)}, sio) }()
 	t.Cleanup(func() {
 		stop()
 		select {
