--- a/internal/command/oper/site_test.go
+++ b/internal/command/oper/site_test.go
@@ -55,7 +55,7 @@
 func plantFor(t *testing.T, lookup func(sched.TaskID) (fleet.Spec, bool)) (*wire.Plant, string) {
 	t.Helper()
 	p := &wire.Plant{
-		Topics:  map[string]*store.Store{"keyed.tamaracklink": store.New(1), "keyed.op": store.New(2), "keyed.servers": store.New(3)},
+		Topics:  map[string]*store.Store{wire.TopicLedger: store.New(1), wire.TopicOrders: store.New(2), wire.TopicWorkers: store.New(3)},
 		Fleet:   fleet.New(4, work.Size{CPU: 16000, Memory: 64000}, "svc", 6*time.Second, lookup),
 		Service: "svc", TicketFor: 1500 * time.Millisecond,
 	}
@@ -65,7 +65,7 @@
 			t.Fatal(err)
 		}
 	}
-	put("keyed.op", ledger.Record{Key: "config", Value: []byte(siteConfig)}, 1)
+	put(wire.TopicOrders, ledger.Record{Key: "config", Value: []byte(siteConfig)}, 1)
 	list, err := p.Fleet.Calls("x").List(ctx)
 	if err != nil {
 		t.Fatal(err)
@@ -73,9 +73,9 @@
 	for i, in := range list {
 		srv := httptest.NewServer(p.Worker(in.ID))
 		t.Cleanup(srv.Close)
-		put("keyed.servers", p.Entry(in, strings.TrimPrefix(srv.URL, "http://")), int64(i+1))
+		put(wire.TopicWorkers, p.Entry(in, strings.TrimPrefix(srv.URL, "http://")), int64(i+1))
 	}
-	put("keyed.servers", ledger.Record{Key: "odd", Value: []byte(`{"service":7}`)}, int64(len(list)+1))
+	put(wire.TopicWorkers, ledger.Record{Key: "odd", Value: []byte(`{"service":7}`)}, int64(len(list)+1))
 	srv := httptest.NewServer(p.Handler())
 	t.Cleanup(srv.Close)
 	return p, strings.TrimPrefix(srv.URL, "http://")
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -30,6 +30,13 @@
 	TicketFor time.Duration
 }
 
+// Topics of the platform's store.
+const (
+	TopicLedger  = "keyed.tamaracklink" // the product's
+	TopicOrders  = "keyed.op"           // what operators write
+	TopicWorkers = "keyed.servers"      // what workers write of themselves
+)
+
 // wireClient is the name under which all callers reach the stand-ins.
 const wireClient = "wire"
 
