core, sched: time to the first start by queue; waiting steps by queue in the state line

Cause: the leader's figures named waiting steps for all queues together, so a take-over's backlog could not be told apart. Ruled out: a second histogram in the adapter, which does not see starts.

--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -74,7 +74,7 @@
 	c.set.Meter.Gauge("live_jobs", float64(s.Live))
 	c.set.Meter.Gauge("runs", float64(s.Runs))
 	c.set.Meter.Gauge("cpu_used", s.CPUUsed)
-	c.set.Logger.Info().Int("jobs", s.Jobs).Int("live", s.Live).Int("waiting", s.Waiting).Int("waiting-late", s.WaitingLate).
+	c.set.Logger.Info().Int("jobs", s.Jobs).Int("live", s.Live).Int("waiting", s.Waiting).Int("waiting-late", s.WaitingLate).Interface("waiting-in", s.WaitingIn).
 		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.Unsure).Int("workers", s.Workers).Int("usable", s.Usable).
 		Float64("cpu-used", math.Round(s.CPUUsed*100)/100).Int("asking", s.Asking).Int64("term", c.lead.term).Msg("leader: state")
 }
@@ -329,6 +329,9 @@
 	for i := range events {
 		ev := &events[i]
 		c.set.Meter.Count("decisions", "what", ev.What, 1)
+		if j := c.jobs[ev.Task.Job]; ev.What == sched.EventBegun && j != nil {
+			c.set.Meter.Observe("first_start_ms", "", j.Queue, ev.Age)
+		}
 		l := c.set.Logger.Info().Str("what", ev.What)
 		if ev.Task.Job != "" {
 			l = l.Str("job", ev.Task.Job).Int("round", ev.Task.Round).Int("step", ev.Task.Step).Int("index", ev.Task.Index)
--- a/internal/state/sched/output.go
+++ b/internal/state/sched/output.go
@@ -50,6 +50,10 @@
 	Data []byte
 }
 
+// EventBegun says that the first task of a job has started; its age is the time
+// since the leader learned of the job.
+const EventBegun = "begun"
+
 // Event is a decision or a finding for the log.
 type Event struct {
 	What   string
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -196,6 +196,7 @@
 	if r.job.State == flow.Queued {
 		r.job.State = flow.Active
 		e.dirty[r.job] = true
+		e.event(EventBegun, r.id, r.n, r.w.ID, "", now.Sub(r.job.seenAt))
 	}
 	r.confirmedSerial = e.holds
 }
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -8,6 +8,8 @@
 	Live        int     // not ended
 	Waiting     int     // steps with tasks that may start
 	WaitingLate int     // of them, past their objective
+	// WaitingIn gives them by queue; a queue in which none waits is left out.
+	WaitingIn map[string]int
 	Runs        int     // not known to have ended
 	Stopping    int     // of them, being stopped
 	Workers     int     // listed
@@ -19,9 +21,10 @@
 
 // Stats gives the present figures.
 func (e *Engine) Stats(now time.Time) Stats {
-	s := Stats{Jobs: len(e.jobs), Live: len(e.live)}
+	s := Stats{Jobs: len(e.jobs), Live: len(e.live), WaitingIn: map[string]int{}}
 	for _, c := range e.waiting(now) {
 		s.Waiting++
+		s.WaitingIn[c.j.Queue]++
 		if c.class > 0 {
 			s.WaitingLate++
 		}
