state/sched: name more workers in a call to the placement service

A call costs as much by itself as naming 70 workers, but the first call about a step named as few as four; 489 calls were made for 251 steps of the middle queue and 142 for 68 gangs, and the callers were busy while half the room was free. Ruled out: room (33 to 47 % in use while 24 to 33 steps waited), the leader's processor. Conclusion: kept; a call names workers until they add a quarter of its length.

--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -11,6 +11,9 @@
 const (
 	maxAsked = 30 // workers named in one call; the objective of a job counts one such call a step
 	minAsked = 4
+	// cheapShare is the share of a call's fixed time that naming further workers
+	// may add: a second call would cost all of it.
+	cheapShare = 0.25
 	// askSlack is what a call may take beyond its computed time.
 	askSlack = 600 * time.Millisecond
 	// slowAdvice is the time beyond which an answer is logged.
@@ -161,6 +164,14 @@
 	return true
 }
 
+// cheapNames gives how many workers a call names at least.
+func cheapNames(adv flow.Advice) int {
+	if adv.WorkerMs <= 0 {
+		return maxAsked
+	}
+	return max(minAsked, min(maxAsked, int(cheapShare*adv.CallMs/adv.WorkerMs)))
+}
+
 // callLength gives how long a call about n workers takes.
 func callLength(adv flow.Advice, n int) time.Duration {
 	return time.Duration((adv.CallMs + adv.WorkerMs*float64(n)) * float64(time.Millisecond))
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -253,7 +253,8 @@
 }
 
 // unknown names workers to ask about for the first time: as many as should hold
-// the tasks that the known ones can't, by the queue's share of allowed workers.
+// the tasks that the known ones can't, by the queue's share of allowed workers,
+// and more while naming them costs little beside the call itself.
 func (e *Engine) unknown(p *pass, c candidate, st *flow.Step, pol flow.Policy, a *stepAdvice, known []*seat, need int) []string {
 	room := 0.0
 	if st.Gang {
@@ -263,9 +264,10 @@
 		}
 	}
 	share := max(e.queue(c.j.Queue).good, 0.05)
+	least := cheapNames(pol.Advice)
 	var names, full []string
 	for _, s := range p.seats {
-		if len(names) >= maxAsked || (room >= float64(need) && len(names) >= minAsked) {
+		if len(names) >= maxAsked || (room >= float64(need) && len(names) >= least) {
 			return names
 		}
 		if _, ok := a.good[s.w.ID]; ok || a.bad[s.w.ID] || !e.look(p, c, st, pol, s) {
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -4,19 +4,19 @@
 
 // Stats are figures of the leader's state for logs and metrics.
 type Stats struct {
-	Jobs        int     // known
-	Live        int     // not ended
-	Waiting     int     // steps with tasks that may start
-	WaitingLate int     // of them, past their objective
+	Jobs        int // known
+	Live        int // not ended
+	Waiting     int // steps with tasks that may start
+	WaitingLate int // of them, past their objective
 	// WaitingIn gives them by queue; a queue in which none waits is left out.
 	WaitingIn map[string]int
-	Runs        int     // not known to have ended
-	Stopping    int     // of them, being stopped
-	Workers     int     // listed
-	Usable      int     // of them, open for starts
-	CPUUsed     float64 // share of the usable workers' processors
-	Asking      int     // questions under way
-	Unsure      int     // starts that got no answer
+	Runs      int     // not known to have ended
+	Stopping  int     // of them, being stopped
+	Workers   int     // listed
+	Usable    int     // of them, open for starts
+	CPUUsed   float64 // share of the usable workers' processors
+	Asking    int     // questions under way
+	Unsure    int     // starts that got no answer
 }
 
 // Stats gives the present figures.
