--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -247,6 +247,23 @@
 	for _, q := range out.Asks {
 		c.calls.Go(func() { c.sendAsk(q, term) })
 	}
+	for _, name := range out.Probes {
+		c.calls.Go(func() { c.probeCaller(name, term) })
+	}
+}
+
+// probeCaller asks an instance whether it can ask the placement service: one that
+// reaches the store is taken to reach the rest of the platform.
+func (c *Core) probeCaller(name string, term int64) {
+	ok := false
+	if peers := c.peers.Load(); name == c.set.Instance {
+		ok = c.Ready()
+	} else if peers != nil {
+		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		defer cancel()
+		ok = c.set.Peers.Ready(ctx, (*peers)[name].Addr)
+	}
+	c.post(func(now time.Time) { c.report(term, func() { c.engine.Probed(now, name, ok) }) })
 }
 
 // report runs f if this instance still leads in that term.
@@ -306,7 +323,7 @@
 			names = append(names, n)
 		}
 	}
-	c.engine.SetCallers(names)
+	c.engine.SetCallers(c.set.Instance, names)
 }
 
 // jobIDs gives the known jobs in the order of their acceptance.
--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -15,11 +15,9 @@
 	// may add: a second call would cost all of it.
 	cheapShare = 0.25
 	// askSlack is what a call may take beyond its computed time.
-	askSlack = 600 * time.Millisecond
+	askSlack = 400 * time.Millisecond
 	// slowAdvice is the time beyond which an answer is logged.
 	slowAdvice = 200 * time.Millisecond
-	// askPause follows a call that failed.
-	askPause = 100 * time.Millisecond
 	// ticketMargin is left of a ticket's validity for the start to travel.
 	ticketMargin = 120 * time.Millisecond
 	// quickCall tells short calls, for which a third of the callers is kept free,
@@ -29,10 +27,12 @@
 	// long calls join: a ticket that comes late is of no use.
 	quickQueue = 300 * time.Millisecond
 	longQueue  = 60 * time.Millisecond
-	// callerBench is the pause of a caller that failed, doubled with each further
-	// failure up to callerBenchMax.
-	callerBench    = time.Second
-	callerBenchMax = 3 * time.Second
+	// askPause follows a call that failed, for its step.
+	askPause = 100 * time.Millisecond
+	// probePause is the pause between two probes of a caller that failed, doubled
+	// with each further failure up to probePauseMax.
+	probePause    = 200 * time.Millisecond
+	probePauseMax = time.Second
 )
 
 // stepAdvice is what is known of the placement of one step.
@@ -41,6 +41,7 @@
 	bad     map[string]bool
 	asking  bool
 	askedAt time.Time
+	askedBy *caller
 	pauseTo time.Time
 	heldOn  []*worker // room is kept there for the step
 	yieldAt time.Time // tasks of lower priority may be stopped again
@@ -54,11 +55,15 @@
 
 // caller is an instance that asks the placement service for the leader.
 type caller struct {
-	name      string
-	busyTo    time.Time // when its calls under way should be answered
-	calls     int
-	failures  int // in a row
-	benchedTo time.Time
+	name   string
+	busyTo time.Time            // when its calls under way should be answered
+	calls  map[*stepAdvice]bool // under way
+	// well says that its newest call or probe was answered. Steps wait only for
+	// callers that are well; the others are probed.
+	well     bool
+	failures int // in a row
+	probing  bool
+	probeAt  time.Time
 }
 
 // queueStat is what was learned of a queue.
@@ -83,13 +88,14 @@
 	return q
 }
 
-// SetCallers names the instances that can ask the placement service.
-func (e *Engine) SetCallers(names []string) {
+// SetCallers names the instances that can ask the placement service; own is the
+// leader's.
+func (e *Engine) SetCallers(own string, names []string) {
 	present := map[string]bool{}
 	for _, n := range names {
 		present[n] = true
 		if e.callers[n] == nil {
-			e.callers[n] = &caller{name: n}
+			e.callers[n] = &caller{name: n, calls: map[*stepAdvice]bool{}, well: n == own}
 		}
 	}
 	e.callerOrder = e.callerOrder[:0]
@@ -120,7 +126,7 @@
 func (e *Engine) caller(now time.Time, length time.Duration) *caller {
 	healthy := make([]*caller, 0, len(e.callerOrder))
 	for _, c := range e.callerOrder {
-		if !now.Before(c.benchedTo) && (c.failures == 0 || c.calls == 0) {
+		if c.well {
 			healthy = append(healthy, c)
 		}
 	}
@@ -155,8 +161,8 @@
 		c.busyTo = now
 	}
 	c.busyTo = c.busyTo.Add(length)
-	c.calls++
-	a.asking, a.askedAt = true, now
+	c.calls[a] = true
+	a.asking, a.askedAt, a.askedBy = true, now, c
 	e.out.Asks = append(e.out.Asks, Ask{
 		Caller: c.name, Job: j.ID, Round: round, Step: step, Workers: workers, Wait: c.busyTo.Sub(now) + askSlack,
 		Quick: length <= quickCall,
@@ -180,23 +186,13 @@
 // Advised takes the answer of the placement service: a ticket for each worker
 // that may run the step. ok is false if there was no answer.
 func (e *Engine) Advised(now time.Time, q Ask, tickets map[string]string, valid time.Duration, ok bool) {
-	if c := e.callers[q.Caller]; c != nil {
-		if c.calls--; c.calls == 0 {
-			c.busyTo = now
-		}
-		if ok {
-			c.failures = 0
-		} else {
-			c.benchedTo = now.Add(min(callerBench<<min(c.failures, 4), callerBenchMax))
-			c.failures++
-		}
-	}
 	j := e.jobs[q.Job]
 	if j == nil || j.advice == nil || j.advice[q.Round] == nil || j.advice[q.Round][q.Step] == nil {
+		e.callerAnswered(now, q.Caller, nil, ok)
 		return
 	}
 	a := j.stepAdvice(q.Round, q.Step)
-	a.asking = false
+	e.callerAnswered(now, q.Caller, a, ok)
 	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
 	if !ok {
 		a.pauseTo = now.Add(askPause)
@@ -212,6 +208,67 @@
 	}
 }
 
+// callerAnswered notes whether a caller answered the call about a step. All steps
+// that wait for a caller that does not are asked about elsewhere.
+func (e *Engine) callerAnswered(now time.Time, name string, a *stepAdvice, ok bool) {
+	c := e.callers[name]
+	if a != nil && (a.askedBy == nil || a.askedBy == c || a.askedBy.name == name) {
+		a.asking, a.askedBy = false, nil
+	}
+	if c == nil {
+		return
+	}
+	delete(c.calls, a)
+	if ok {
+		c.well, c.failures = true, 0
+		if len(c.calls) == 0 {
+			c.busyTo = now
+		}
+		return
+	}
+	e.callerFailed(now, c)
+}
+
+func (e *Engine) callerFailed(now time.Time, c *caller) {
+	c.well = false
+	c.probeAt = now.Add(min(probePause<<min(c.failures, 4), probePauseMax))
+	c.failures++
+	for a := range c.calls {
+		if a.askedBy == c {
+			a.asking, a.askedBy = false, nil
+		}
+	}
+	clear(c.calls)
+	c.busyTo = now
+}
+
+// probeCallers asks how those callers are that are not known to be well.
+func (e *Engine) probeCallers(now time.Time) {
+	for _, c := range e.callerOrder {
+		if !c.well && !c.probing && !now.Before(c.probeAt) {
+			c.probing = true
+			e.out.Probes = append(e.out.Probes, c.name)
+		}
+	}
+}
+
+// Probed takes the answer to a probe.
+func (e *Engine) Probed(now time.Time, name string, ok bool) {
+	c := e.callers[name]
+	if c == nil {
+		return
+	}
+	c.probing = false
+	if !ok {
+		e.callerFailed(now, c)
+		return
+	}
+	if !c.well {
+		e.event("caller-well", TaskID{}, 0, name, "", 0)
+	}
+	c.well, c.failures = true, 0
+}
+
 // noteAdvice takes the answer about one worker; only the first one about it says
 // something of the queue.
 func (e *Engine) noteAdvice(a *stepAdvice, known *queueStat, id string, tickets map[string]string, to time.Time) {
--- a/internal/state/sched/advice_test.go
+++ b/internal/state/sched/advice_test.go
@@ -42,6 +42,54 @@
 	}
 }
 
+// TestCallerLost checks that steps wait for no caller that may be gone: one of
+// which nothing is known is probed first, and when one does not answer, all that
+// it was asked is asked elsewhere.
+func TestCallerLost(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 48, flow.Advice{CallMs: 10, WorkerMs: 0.1, ValidMs: 2000})
+	decide := func(ms int) (asks []Ask, probes []string) {
+		e.Tick(at(ms))
+		e.Decide(at(ms))
+		out := e.Take()
+		return out.Asks, out.Probes
+	}
+	for i := range 6 {
+		e.AddJob(at(0), &flow.Job{Spec: simJob(fmt.Sprintf("a%d", i), "q", tasks(1, 1000, 400))})
+	}
+	is.True(e.callers["i1"].probing && e.callers["i2"].probing)
+	asks, _ := decide(0)
+	for _, q := range asks {
+		is.Equal(q.Caller, "i0")
+	}
+	e.Probed(at(5), "i1", true)
+	e.Probed(at(5), "i2", false)
+	for i := range 6 {
+		e.AddJob(at(10), &flow.Job{Spec: simJob(fmt.Sprintf("b%d", i), "q", tasks(1, 1000, 400))})
+	}
+	asks, _ = decide(10)
+	var lost []Ask
+	for _, q := range asks {
+		is.True(q.Caller != "i2")
+		if q.Caller == "i1" {
+			lost = append(lost, q)
+		}
+	}
+	is.True(len(lost) > 1)
+	e.Advised(at(20), lost[0], nil, 0, false)
+	asks, _ = decide(20)
+	again := map[string]bool{}
+	for _, q := range asks {
+		is.Equal(q.Caller, "i0")
+		again[q.Job] = true
+	}
+	for _, q := range lost[1:] {
+		is.True(again[q.Job])
+	}
+	_, probes := decide(1000)
+	is.Equal(probes, []string{"i1", "i2"})
+}
+
 func at(ms int) time.Time { return time.UnixMilli(1e9).Add(time.Duration(ms) * time.Millisecond) }
 
 // readyEngine gives an engine with idle workers of 32 cores that have answered,
@@ -51,7 +99,7 @@
 	now := at(-100)
 	e := New(Params{LeaseMax: 6 * time.Second, LeaderMax: 4 * time.Second, KeepFor: time.Minute}, now)
 	e.SetConfig(&flow.Config{Version: 1, Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: simService, MaxAttempts: 3, Advice: adv}}}})
-	e.SetCallers([]string{"i0", "i1", "i2"})
+	e.SetCallers("i0", []string{"i0", "i1", "i2"})
 	var list []WorkerInfo
 	for i := range workers {
 		list = append(list, WorkerInfo{ID: fmt.Sprintf("w%02d", i), Addr: "x", Service: simService, Capacity: work.Size{CPU: 32000, Memory: 128 << 10}, Boot: 1})
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -212,6 +212,7 @@
 	for _, w := range e.order {
 		e.tickWorker(now, w)
 	}
+	e.probeCallers(now)
 	e.expire(now)
 	return now.Add(tickLatest)
 }
--- a/internal/state/sched/output.go
+++ b/internal/state/sched/output.go
@@ -68,6 +68,7 @@
 type Output struct {
 	Orders []Order
 	Asks   []Ask
+	Probes []string // callers of the placement service that should be probed
 	Events []Event
 	Fenced bool // a worker has seen a later leader
 }
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -194,7 +194,7 @@
 	s.busy, s.paused, s.batch = false, false, nil
 	s.engine = New(s.params, s.now)
 	s.engine.SetConfig(s.conf)
-	s.engine.SetCallers([]string{"a", "b", "c"})
+	s.engine.SetCallers("a", []string{"a", "b", "c"})
 	for _, id := range s.ids {
 		st := s.store[id]
 		if st.gone {
@@ -291,6 +291,9 @@
 	for _, q := range out.Asks {
 		s.ask(e, q)
 	}
+	for _, name := range out.Probes {
+		s.after(5*time.Millisecond, func() { e.Probed(s.now, name, s.rnd.Float64() >= s.adviseLost) })
+	}
 }
 
 func (s *sim) commit(e *Engine, term int64, b *Batch) {
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -53,7 +53,7 @@
 		s.CPUUsed = float64(used) / float64(room)
 	}
 	for _, c := range e.callers {
-		s.Asking += c.calls
+		s.Asking += len(c.calls)
 	}
 	return s
 }
