sched, core: keep what leaders learn of workers and queues in the ledger

Ruled out: kind and rack tell nothing of a worker's speed (trial). TestTaught fails without it; Core.next, never read, is gone.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -87,7 +87,7 @@
 	members  map[string]instance
 	cancels  map[string]bool // jobs cancelled whose spec has not been read yet
 	settled  int64           // the state is whole once the ledger has been read to here
-	next     int64
+	learned  []byte          // the newest record of what leaders have learned
 	lead     leadership
 	engine   *sched.Engine
 	listing  listing
--- a/internal/coordination/core/follow.go
+++ b/internal/coordination/core/follow.go
@@ -24,7 +24,6 @@
 	for _, r := range b.Records {
 		c.apply(now, r)
 	}
-	c.next = b.Next
 	if b.CaughtUp && b.Next >= c.settled {
 		c.ready.Store(true)
 		c.lead.caughtUp = now
@@ -52,6 +51,8 @@
 		err = c.applyClaim(now, r.Value)
 	case keyBeat:
 		c.heard(now)
+	case keyLearned:
+		c.learned = r.Value
 	}
 	if err != nil {
 		c.set.Logger.Error().Err(err).Str("key", r.Key).Msg("ledger: a record can't be read; it is passed over")
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -229,7 +229,8 @@
 func (c *Core) begin(now time.Time) {
 	c.set.Logger.Info().Int64("term", c.lead.term).Int("jobs", len(c.jobs)).Msg("leader: begins")
 	c.engine = sched.New(c.set.Params, now)
-	c.append = appending{writer: c.leaderWriter(c.lead.term), lastAt: now}
+	c.teach()
+	c.append = appending{writer: c.leaderWriter(c.lead.term), lastAt: now, learnedAt: now}
 	c.lead.confirmed = c.set.Uptime()
 	c.listing = listing{}
 	c.relay = c.newRelaying()
@@ -245,6 +246,19 @@
 	c.changed = true
 }
 
+// teach tells the engine what earlier leaders have learned.
+func (c *Core) teach() {
+	if len(c.learned) == 0 {
+		return
+	}
+	var l sched.Learned
+	if err := json.Unmarshal(c.learned, &l); err != nil {
+		c.set.Logger.Error().Err(err).Msg("leader: what earlier leaders learned can't be read; it is passed over")
+		return
+	}
+	c.engine.Teach(l)
+}
+
 func (c *Core) leaderWriter(term int64) *ledger.Writer {
 	w := ledger.NewWriter(c.set.Log, ledger.Producer{Name: leaderProducer, Epoch: term}, 1)
 	w.Unsure = func(err error, tries int) {
--- a/internal/coordination/core/records.go
+++ b/internal/coordination/core/records.go
@@ -15,6 +15,7 @@
 	keyInstance = "n/"
 	keyLeader   = "leader"
 	keyBeat     = "beat"
+	keyLearned  = "learned"
 )
 
 // leaderProducer is the name that the appends of all leaders share.
--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -20,8 +20,11 @@
 	// appendEvery is the shortest time between two appends, each of which has a
 	// price and takes some 7 ms.
 	appendEvery = 10 * time.Millisecond
-	listEvery   = 500 * time.Millisecond
-	listTimeout = 1500 * time.Millisecond
+	// learnedEvery is the time between two records of what the leader has learned;
+	// at 48 workers one has some 3 KB.
+	learnedEvery = 4 * time.Second
+	listEvery    = 500 * time.Millisecond
+	listTimeout  = 1500 * time.Millisecond
 	// Time-outs of calls to workers beyond their own waiting.
 	startTimeout = 400 * time.Millisecond
 	stopTimeout  = 400 * time.Millisecond
@@ -35,6 +38,8 @@
 	lastAt time.Time
 	cancel context.CancelFunc
 	resign chan struct{} // closed when the leader has given up the lead
+	// learnedAt is when the record of what was learned was written last.
+	learnedAt time.Time
 }
 
 // listing is the leader's reading of the list of workers.
@@ -98,6 +103,15 @@
 	if len(records) == 0 {
 		records = append(records, ledger.Record{Key: keyBeat, Value: []byte{1}})
 	}
+	if now.Sub(a.learnedAt) >= learnedEvery {
+		a.learnedAt = now
+		r, err := encodeRecord(keyLearned, c.engine.Learned())
+		if err != nil {
+			c.set.Logger.Error().Err(err).Msg("leader: what was learned can't be encoded")
+		} else {
+			records = append(records, r)
+		}
+	}
 	if a.resign != nil {
 		if r, err := encodeRecord(keyLeader, claim{Term: c.lead.term, Instance: c.set.Instance, Life: c.set.Life, Resigned: true}); err == nil {
 			records = append(records, r)
--- a/internal/coordination/core/takeover_test.go
+++ b/internal/coordination/core/takeover_test.go
@@ -1,11 +1,15 @@
 package core_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+	"github.com/tamaracklink/tamaracklink/internal/state/sched"
 )
 
 // TestTakeoverTime bounds the time without a leader under a steady load, so that
@@ -46,6 +50,28 @@
 	}
 }
 
+// TestLearnedIsStored checks that what a leader learns stands in the ledger for
+// the next one, and that a record that can't be read stops none.
+func TestLearnedIsStored(t *testing.T) {
+	play(t, 3, func(s *site) {
+		old := s.Leader()
+		stop := s.load("")
+		time.Sleep(6 * time.Second)
+		stop()
+		var l sched.Learned
+		s.is.NoErr(json.Unmarshal(s.Store.Get("learned"), &l))
+		s.is.True(len(l.Workers) > 0 && l.Queues["q"].Dev > 0)
+		_, err := s.Store.Log("x").Append(context.Background(), ledger.Producer{Name: "x", Epoch: 1}, 1,
+			[]ledger.Record{{Key: "learned", Value: []byte("\x00")}})
+		s.is.NoErr(err)
+		s.Kill(old)
+		time.Sleep(2 * time.Second)
+		s.is.NoErr(s.Submit(s.Leader(), s.Job("after", "q", tasks(1, 100))))
+		time.Sleep(time.Second)
+		s.wantState("after", "complete")
+	})
+}
+
 // TestSlowStoreKeepsLeader checks that a store that answers slowly, to all alike,
 // costs no leader its lead.
 func TestSlowStoreKeepsLeader(t *testing.T) {
--- a/internal/state/sched/advice.go
+++ b/internal/state/sched/advice.go
@@ -66,28 +66,6 @@
 	probeAt  time.Time
 }
 
-// queueStat is what was learned of a queue.
-type queueStat struct {
-	good  float64 // share of workers that may run a step
-	ratio float64 // mean log of run time to estimate
-	dev   float64 // mean deviation from it
-}
-
-// goodAtFirst is assumed of a queue of which nothing is known.
-const goodAtFirst = 0.4
-
-// devAtFirst is assumed of a queue's estimates: a factor of about 1.6.
-const devAtFirst = 0.5
-
-func (e *Engine) queue(name string) *queueStat {
-	q := e.queues[name]
-	if q == nil {
-		q = &queueStat{good: goodAtFirst, dev: devAtFirst}
-		e.queues[name] = q
-	}
-	return q
-}
-
 // SetCallers names the instances that can ask the placement service; own is the
 // leader's.
 func (e *Engine) SetCallers(own string, names []string) {
@@ -271,7 +249,7 @@
 
 // noteAdvice takes the answer about one worker; only the first one about it says
 // something of the queue.
-func (e *Engine) noteAdvice(a *stepAdvice, known *queueStat, id string, tickets map[string]string, to time.Time) {
+func (e *Engine) noteAdvice(a *stepAdvice, known *QueueStats, id string, tickets map[string]string, to time.Time) {
 	_, wasGood := a.good[id]
 	first := !wasGood && !a.bad[id]
 	value, good := tickets[id]
@@ -289,7 +267,7 @@
 	if good {
 		share = 1
 	}
-	known.good += queueWeight * (share - known.good)
+	known.Allowed += queueWeight * (share - known.Allowed)
 }
 
 func (e *Engine) dropTicket(r *run) {
--- a/internal/state/sched/ends.go
+++ b/internal/state/sched/ends.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
@@ -87,7 +86,7 @@
 			e.event("worker-restarted", TaskID{}, 0, w.ID, "", 0)
 		}
 		w.boot, w.acked, w.seen = rep.Boot, 0, 0
-		w.slow, w.samples = 0, 0
+		e.recall(w)
 	}
 	w.clock, w.clockAt = rep.Clock, now
 	listed := e.takeRunning(now, w, rep.Running)
@@ -285,12 +284,6 @@
 	// row before it is set aside: at 5 % of failing tasks, one in 8,000 by chance.
 	benchFails = 3
 	benchTime  = 4 * time.Second
-	// speedWeight is the weight of one more task in a worker's learned speed.
-	speedWeight = 0.2
-	// queueWeight is the same for the mean of a queue.
-	queueWeight = 0.03
-	// speedBound limits what one task can say, as a log of a ratio.
-	speedBound = 2.5
 )
 
 // blame sets a worker aside on which jobs fail one after another.
@@ -305,22 +298,3 @@
 		clear(w.failJobs)
 	}
 }
-
-// learn updates how slow a worker is from a run that ended as done.
-func (e *Engine) learn(now time.Time, r *run, st *flow.Step) {
-	clear(r.w.failJobs)
-	r.w.lastDone = now
-	if st.EstimateMs <= 0 || r.startedAt.IsZero() || r.n > 1 {
-		return
-	}
-	took := math.Log(float64(now.Sub(r.startedAt).Milliseconds()+1) / float64(st.EstimateMs))
-	q := e.queue(r.job.Queue)
-	rel := max(-speedBound, min(speedBound, took-q.ratio))
-	q.ratio += queueWeight * rel
-	q.dev += queueWeight * (math.Abs(rel) - q.dev)
-	if st.Gang {
-		return // the slowest member decides
-	}
-	r.w.slow += speedWeight * (rel - r.w.slow)
-	r.w.samples++
-}
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -65,7 +65,8 @@
 	callerOrder []*caller // by name
 	dirty       map[*job]bool
 	drops       []string
-	queues      map[string]*queueStat
+	queues      map[string]*QueueStats
+	taught      map[string]WorkerStats // by worker; what an earlier leader learned
 	holds       uint64
 	out         Output
 	starts      []*run // recorded in the batch to come, not yet ordered
@@ -91,7 +92,7 @@
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
 		p: p, began: now, jobs: map[string]*job{}, workers: map[string]*worker{}, callers: map[string]*caller{},
-		dirty: map[*job]bool{}, queues: map[string]*queueStat{}, acks: map[*worker]ack{}, holders: map[TaskID]time.Time{},
+		dirty: map[*job]bool{}, queues: map[string]*QueueStats{}, acks: map[*worker]ack{}, holders: map[TaskID]time.Time{},
 	}
 }
 
--- a/internal/state/sched/engine_test.go
+++ b/internal/state/sched/engine_test.go
@@ -129,7 +129,7 @@
 	is := is.New(t)
 	s := newSim(t, 5, 2)
 	s.run(time.Second)
-	s.engine.workers["w00"].slow = -4
+	s.engine.workers["w00"].Slow = -4
 	s.workers["w00"].failsAll = true
 	s.submit(simJob("a", "q2", tasks(1, 1000, 400)))
 	s.run(5 * time.Second)
--- /dev/null
+++ b/internal/state/sched/learn_test.go
@@ -0,0 +1,66 @@
+package sched
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// TestTaught checks that a leader uses what an earlier one learned of a worker's
+// incarnation, and nothing that was learned of another.
+func TestTaught(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 7, 2)
+	s.workers["w00"].speed = 0.3
+	s.run(time.Second)
+	for i := range 40 {
+		s.submit(simJob(fmt.Sprintf("a%d", i), "q2", tasks(4, 1000, 400)))
+		s.run(300 * time.Millisecond)
+	}
+	data, err := json.Marshal(s.engine.Learned())
+	is.NoErr(err)
+	var l Learned
+	is.NoErr(json.Unmarshal(data, &l))
+	is.True(l.Workers["w00"].Slow > l.Workers["w01"].Slow+0.5)
+	ratio := l.Queues["q2"].Ratio
+
+	for _, restarted := range []bool{false, true} {
+		is.NoErr(json.Unmarshal(data, &l))
+		e := New(s.params, s.now)
+		e.Teach(l)
+		is.Equal(e.queue("q2").Ratio, ratio)
+		e.SetConfig(s.conf)
+		var list []WorkerInfo
+		for _, n := range s.names {
+			list = append(list, s.workers[n].info)
+		}
+		e.SetWorkers(s.now, list)
+		e.Tick(s.now)
+		for _, o := range e.Take().Orders {
+			boot := s.workers[o.Worker].boot
+			if restarted {
+				boot++
+			}
+			for i := range list {
+				list[i].Boot = boot
+			}
+			e.Held(s.now, o, Report{Boot: boot, Clock: time.Second})
+		}
+		e.SetWorkers(s.now, list)
+		e.AddJob(s.now, &flow.Job{Spec: simJob("b", "q2", tasks(1, 1000, 400))})
+		later := s.now.Add(time.Second)
+		e.Tick(later)
+		e.Decide(later)
+		on := e.jobs["b"].Progress.Rounds[0].Steps[0][0].Worker
+		if restarted {
+			is.Equal(e.workers["w00"].Samples, 0)
+		} else {
+			is.Equal(on, "w01")
+		}
+	}
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -59,11 +59,11 @@
 		if !w.usable(now) {
 			continue
 		}
-		s := &seat{w: w, free: w.Capacity.Sub(w.used), rank: w.slow}
+		s := &seat{w: w, free: w.Capacity.Sub(w.used), rank: w.Slow}
 		if w.Capacity.CPU > 0 {
 			s.rank += packWeight * float64(s.free.CPU) / float64(w.Capacity.CPU)
 		}
-		if w.samples >= tooSlowSamples && w.slow > tooSlow {
+		if w.Samples >= tooSlowSamples && w.Slow > tooSlow {
 			s.rank += tooSlow
 		}
 		p.seats = append(p.seats, s)
@@ -263,7 +263,7 @@
 			room += float64(s.fit + s.more)
 		}
 	}
-	share := max(e.queue(c.j.Queue).good, 0.05)
+	share := max(e.queue(c.j.Queue).Allowed, 0.05)
 	least := cheapNames(pol.Advice)
 	var names, full []string
 	for _, s := range p.seats {
--- a/internal/state/sched/stuck.go
+++ b/internal/state/sched/stuck.go
@@ -41,12 +41,12 @@
 		return 0, 0
 	}
 	q := e.queue(r.job.Queue)
-	slow := q.ratio
-	if r.w.samples >= tooSlowSamples {
-		slow += r.w.slow
+	slow := q.Ratio
+	if r.w.Samples >= tooSlowSamples {
+		slow += r.w.Slow
 	}
 	slow = max(minSlow, min(maxSlow, slow))
-	return time.Duration(float64(st.EstimateMs) * math.Exp(slow) * float64(time.Millisecond)), min(q.dev, maxDev)
+	return time.Duration(float64(st.EstimateMs) * math.Exp(slow) * float64(time.Millisecond)), min(q.Dev, maxDev)
 }
 
 // times gives d times e to the power of x.
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -65,10 +65,9 @@
 	seen      int64     // ends up to this number have been taken in
 	benchedTo time.Time // not used before, after failures
 	failJobs  map[string]bool
-	slow      float64 // log of how much longer tasks take here than on average
-	samples   int
-	lastDone  time.Time // when a run last ended as done
-	lookAt    time.Time // of the next look for tasks that stand still
+	WorkerStats
+	lastDone time.Time // when a run last ended as done
+	lookAt   time.Time // of the next look for tasks that stand still
 }
 
 // SetWorkers takes the newest list of workers.
