--- a/internal/command/oper/serve.go
+++ b/internal/command/oper/serve.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
+	"github.com/tamaracklink/tamaracklink/platform"
 )
 
 func bindSettings(f *flag.FlagSet, s *server.Settings) {
@@ -61,7 +62,7 @@
 	// net/http tells of broken connections there, each one; a few a second are enough.
 	log.SetFlags(0)
 	log.SetOutput(logger.Sample(&zerolog.BurstSampler{Burst: 5, Period: time.Second}).With().Str("part", "http").Logger())
-	i, err := server.NewInstance(set, server.Env{Logger: logger})
+	i, err := server.NewInstance(set, server.Env{Streams: platform.Streams, Logger: logger})
 	if err != nil {
 		return err
 	}
--- a/internal/command/oper/site_test.go
+++ b/internal/command/oper/site_test.go
@@ -20,7 +20,6 @@
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/standin/fleet"
-	"github.com/tamaracklink/tamaracklink/internal/standin/store"
 	"github.com/tamaracklink/tamaracklink/internal/standin/wire"
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
@@ -55,13 +54,12 @@
 func plantFor(t *testing.T, lookup func(sched.TaskID) (fleet.Spec, bool)) (*wire.Plant, string) {
 	t.Helper()
 	p := &wire.Plant{
-		Topics:  map[string]*store.Store{wire.TopicLedger: store.New(1), wire.TopicOrders: store.New(2), wire.TopicWorkers: store.New(3)},
 		Fleet:   fleet.New(4, work.Size{CPU: 16000, Memory: 64000}, "svc", 6*time.Second, lookup),
 		Service: "svc", TicketFor: 1500 * time.Millisecond,
 	}
 	ctx := context.Background()
 	put := func(topic string, r ledger.Record, seq int64) {
-		if _, err := p.Topics[topic].Log("x").Append(ctx, ledger.Producer{Name: "x", Epoch: 1}, seq, []ledger.Record{r}); err != nil {
+		if _, err := p.Topic(topic).Log("x").Append(ctx, ledger.Producer{Name: "x", Epoch: 1}, seq, []ledger.Record{r}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/coordination/conf/conf.go
+++ b/internal/coordination/conf/conf.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/stream"
 	"github.com/tamaracklink/tamaracklink/internal/state/config"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
@@ -31,7 +32,7 @@
 
 // Config sets up a View.
 type Config struct {
-	Log         stream.Log
+	Log         ledger.Log
 	SnapshotAge time.Duration
 	Fetch       func(ctx context.Context) ([]byte, error)
 	Now         func() time.Time
--- a/internal/coordination/leader/domain.go
+++ b/internal/coordination/leader/domain.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/stream"
 	"github.com/tamaracklink/tamaracklink/internal/state/config"
@@ -40,7 +41,7 @@
 	BatchEvery  time.Duration // shortest time between two batches
 	RenewEvery  time.Duration // longest time between two batches
 	SnapshotAge time.Duration
-	Log         stream.Log
+	Log         ledger.Log
 	Fetch       func(ctx context.Context) ([]byte, error)
 	Nodes       func(kind string) []member.Node
 	Peers       func() []member.Peer
--- a/internal/coordination/ledger/log.go
+++ b/internal/coordination/ledger/log.go
@@ -14,7 +14,8 @@
 
 // Producer is the identity under which appends are made. The store refuses an
 // epoch lower than one that it has seen from the same name, and answers a
-// repeated sequence number as it did at first.
+// repeated sequence number as it did at first. Without a name there is none of
+// that: a repeated append stands in the log twice.
 type Producer struct {
 	Name  string
 	Epoch int64
--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/stream"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 )
@@ -116,7 +117,7 @@
 
 // Config sets up a Registry.
 type Config struct {
-	Log         stream.Log
+	Log         ledger.Log
 	Window      time.Duration
 	SnapshotAge time.Duration
 	Now         func() time.Time
--- a/internal/coordination/stream/append.go
+++ b/internal/coordination/stream/append.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 )
 
 // Bounds of one append.
@@ -18,7 +20,7 @@
 // Appender gathers records into few appends: while one append is under way, or
 // the interval since the last has not passed, further records wait for the next.
 type Appender struct {
-	log      Log
+	log      ledger.Log
 	stream   string
 	interval time.Duration
 
@@ -29,12 +31,12 @@
 }
 
 type item struct {
-	data   []byte
-	result chan error
+	content []byte
+	result  chan error
 }
 
 // NewAppender gives an appender that appends at most once in each interval.
-func NewAppender(log Log, stream string, interval time.Duration) *Appender {
+func NewAppender(log ledger.Log, stream string, interval time.Duration) *Appender {
 	return &Appender{log: log, stream: stream, interval: interval, wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
@@ -43,7 +45,7 @@
 
 // Append adds one record's content. An error leaves open whether it took effect.
 func (a *Appender) Append(ctx context.Context, content []byte) error {
-	it := &item{data: Record(content), result: make(chan error, 1)}
+	it := &item{content: content, result: make(chan error, 1)}
 	a.mu.Lock()
 	if len(a.queue) >= maxQueuedRecords {
 		a.mu.Unlock()
@@ -84,19 +86,26 @@
 	if len(batch) == 0 {
 		return false
 	}
-	records := make([][]byte, 0, len(batch))
+	records := make([]ledger.Record, 0, len(batch))
 	for _, it := range batch {
-		records = append(records, it.data)
+		records = append(records, ledger.Record{Key: keyRecord, Value: it.content})
 	}
-	c, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := a.log.Append(c, a.stream, records)
+	err := add(ctx, a.log, records)
 	for _, it := range batch {
 		it.result <- err
 	}
 	return true
 }
 
+// add appends records without a producer: a repeat stands in the stream twice,
+// which folds tell.
+func add(ctx context.Context, log ledger.Log, records []ledger.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := log.Append(ctx, ledger.Producer{}, 0, records)
+	return err
+}
+
 func (a *Appender) take() []*item {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/coordination/stream/doc.go
+++ b/internal/coordination/stream/doc.go
@@ -1,5 +1,5 @@
-// Package stream reads and writes the platform's log. A Follower applies one
-// stream's records in order to a fold, starts from a snapshot where the
+// Package stream keeps folds of streams in the store. A Follower applies one
+// stream's records in order to a fold, starts from the newest snapshot where the
 // beginning has expired, and appends snapshots before it expires. An Appender
 // gathers records of many callers into few appends.
 //
--- a/internal/coordination/stream/follow.go
+++ b/internal/coordination/stream/follow.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 )
 
+// readSlack is added to the wait of a read before its answer counts as lost.
+const readSlack = 3 * time.Second
+
 // Fold is the state that a follower feeds. The follower calls its functions
 // from one goroutine.
 type Fold struct {
@@ -38,7 +43,7 @@
 // Follower applies one stream to a fold.
 type Follower struct {
 	cfg  FollowConfig
-	log  Log
+	log  ledger.Log
 	fold Fold
 	done chan struct{}
 
@@ -54,7 +59,7 @@
 }
 
 // NewFollower gives a follower that has read nothing.
-func NewFollower(cfg FollowConfig, log Log, fold Fold) *Follower {
+func NewFollower(cfg FollowConfig, log ledger.Log, fold Fold) *Follower {
 	return &Follower{cfg: cfg, log: log, fold: fold, done: make(chan struct{}), changed: make(chan struct{}), last: -1, lastAt: cfg.Now()}
 }
 
@@ -126,10 +131,10 @@
 
 func (f *Follower) step(ctx context.Context) error {
 	start := f.cfg.Now()
-	page, err := f.log.Read(ctx, f.cfg.Stream, f.fold.Offset()+1, f.cfg.Wait)
-	var expired *ExpiredError
+	page, err := f.read(ctx)
+	var expired *ledger.ExpiredError
 	if errors.As(err, &expired) {
-		return f.rebuild(ctx, expired.Oldest)
+		return f.rebuild(ctx, expired.First)
 	}
 	if err != nil {
 		f.fetch(ctx)
@@ -140,36 +145,40 @@
 	return f.snapshot(ctx)
 }
 
-func (f *Follower) apply(page Page) {
+func (f *Follower) read(ctx context.Context) (ledger.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+readSlack)
+	defer cancel()
+	return f.log.Read(ctx, f.fold.Offset()+1, f.cfg.Wait)
+}
+
+func (f *Follower) apply(page ledger.Page) {
 	now := f.cfg.Now()
-	for _, e := range page.Entries {
-		if len(e.Data) == 0 {
-			continue
-		}
-		if e.Data[0] == markSnapshot {
-			f.last = e.Offset
+	for i, r := range page.Records {
+		offset := page.From + int64(i)
+		if strings.HasPrefix(r.Key, prefixSnapshot) {
+			f.last = offset
 			f.lastAt = now
 		}
-		f.fold.Apply(e.Offset, content(e.Data), now)
+		f.fold.Apply(offset, content(r), now)
 	}
 }
 
-// content gives a record's content; a snapshot has none for a fold that
-// already holds the records before it.
-func content(data []byte) []byte {
-	if data[0] != markRecord {
+// content gives a record's content; a snapshot has none for a fold that already
+// holds the records before it.
+func content(r ledger.Record) []byte {
+	if r.Key != keyRecord {
 		return nil
 	}
-	return data[1:]
+	return r.Value
 }
 
-func (f *Follower) mark(start time.Time, page Page) {
+func (f *Follower) mark(start time.Time, page ledger.Page) {
 	// The fold has its own lock, under which it may ask this follower; so it is
 	// not asked under the follower's.
 	offset := f.fold.Offset()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if offset+1 >= page.Next {
+	if offset+1 >= page.End {
 		f.tail = start
 		f.ready = true
 	}
@@ -197,45 +206,24 @@
 	f.changed = make(chan struct{})
 }
 
-type snapshotRecord struct {
-	State json.RawMessage `json:"state"`
-}
-
-// rebuild looks for the newest snapshot among the records that are kept and
-// loads it. Without one the follower waits: it never guesses.
-func (f *Follower) rebuild(ctx context.Context, oldest int64) error {
-	newest, err := f.newestSnapshot(ctx, oldest)
+// rebuild loads the newest snapshot, which the store keeps beyond the expiry of
+// records. Without one that reaches the oldest record kept, first, the follower
+// waits: it never guesses.
+func (f *Follower) rebuild(ctx context.Context, first int64) error {
+	state, err := newestSnapshot(ctx, f.log)
 	if err != nil {
-		return err
-	}
-	if newest == nil {
-		f.fetch(ctx)
-		return errors.Errorf("stream %s has expired before offset %d and holds no snapshot", f.cfg.Stream, oldest)
-	}
-	var s snapshotRecord
-	if err := json.Unmarshal(newest[1:], &s); err != nil {
-		return errors.Wrap(err, "decode snapshot record")
+		return errs.At("look for a snapshot of "+f.cfg.Stream, "log", err)
 	}
-	return f.fold.Load(s.State)
-}
-
-func (f *Follower) newestSnapshot(ctx context.Context, from int64) ([]byte, error) {
-	var newest []byte
-	for {
-		page, err := f.log.Read(ctx, f.cfg.Stream, from, 0)
-		if err != nil {
-			return nil, errs.At("look for a snapshot in "+f.cfg.Stream, "log", err)
-		}
-		for _, e := range page.Entries {
-			if len(e.Data) > 0 && e.Data[0] == markSnapshot {
-				newest = e.Data
-			}
-			from = e.Offset + 1
-		}
-		if len(page.Entries) == 0 || from >= page.Next {
-			return newest, nil
+	if state != nil {
+		if err := f.fold.Load(state); err != nil {
+			return err
 		}
 	}
+	if f.fold.Offset()+1 < first {
+		f.fetch(ctx)
+		return errors.Errorf("stream %s has expired before offset %d and holds no snapshot that reaches it", f.cfg.Stream, first)
+	}
+	return nil
 }
 
 // snapshot appends a snapshot when one is due. Each follower waits a random
@@ -257,11 +245,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode snapshot")
 	}
-	data, err := json.Marshal(snapshotRecord{State: state})
+	records, err := splitSnapshot(state, fmt.Sprintf("%d-%x", f.fold.Offset(), rand.Uint64()))
 	if err != nil {
-		return errors.Wrap(err, "encode snapshot record")
+		return err
 	}
 	f.dueDelay = 0
-	_, err = f.log.Append(ctx, f.cfg.Stream, [][]byte{append([]byte{markSnapshot}, data...)})
-	return errs.At("append snapshot to "+f.cfg.Stream, "log", err)
+	return errs.At("append snapshot to "+f.cfg.Stream, "log", add(ctx, f.log, records))
 }
--- a/internal/protocol/plat/plat.go
+++ b/internal/protocol/plat/plat.go
@@ -1,10 +1,8 @@
-// Package plat is the client of the platform: its append-only log and its list
-// of instances, over HTTP with JSON bodies. All talk with the platform passes
-// through it.
+// Package plat is the client of the platform's list of instances, over HTTP with
+// JSON bodies, and makes the HTTP client through which an instance calls it.
 package plat
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,24 +10,18 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
-	"github.com/tamaracklink/tamaracklink/internal/coordination/stream"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
-// Bounds of one call.
-const (
-	readSlack     = 3 * time.Second
-	appendLimit   = 5 * time.Second
-	maxReplyBytes = 64 << 20
-)
+// maxReplyBytes bounds the size of one answer.
+const maxReplyBytes = 64 << 20
 
 // HeaderDomain tells the platform from which failure domain a call comes.
 const HeaderDomain = "Tamaracklink-Domain"
@@ -37,89 +29,43 @@
 // Dial opens a connection.
 type Dial = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Client talks to the platform at one address.
-type Client struct {
-	addr   string
-	domain string
-	http   *http.Client
-
-	mu      sync.Mutex
-	own     part
-	entries part
-}
-
-// New gives a client for an instance of the failure domain. A nil dial uses TCP.
-func New(addr, domain string, dial Dial) *Client {
+// NewHTTP gives the client through which an instance of the failure domain calls
+// the platform. A nil dial uses TCP.
+func NewHTTP(domain string, dial Dial) *http.Client {
 	t := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
-	return &Client{addr: addr, domain: domain, http: &http.Client{Transport: t}}
-}
-
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
-
-// Log gives the log service's functions.
-func (c *Client) Log() stream.Log { return stream.Log{Append: c.Append, Read: c.Read} }
-
-type appendRequest struct {
-	Records [][]byte `json:"records"`
+	return &http.Client{Transport: &domainTransport{domain: domain, next: t}}
 }
 
-type appendReply struct {
-	First int64 `json:"first-offset"`
+// domainTransport tells the platform from which failure domain each call comes.
+type domainTransport struct {
+	domain string
+	next   *http.Transport
 }
 
-// Append adds records to a stream and gives the offset of the first.
-func (c *Client) Append(ctx context.Context, name string, records [][]byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, appendLimit)
-	defer cancel()
-	body, err := json.Marshal(appendRequest{Records: records})
-	if err != nil {
-		return 0, errors.Wrap(err, "encode records")
-	}
-	var reply appendReply
-	err = c.call(ctx, http.MethodPost, "/streams/"+url.PathEscape(name), body, &reply)
-	return reply.First, errs.At("append to "+name, c.addr, err)
+// RoundTrip implements http.RoundTripper.
+func (t *domainTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set(HeaderDomain, t.domain)
+	return t.next.RoundTrip(r)
 }
 
-type readEntry struct {
-	Offset int64  `json:"offset"`
-	Data   []byte `json:"data"`
-}
+// CloseIdleConnections is called by the client's method of that name.
+func (t *domainTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
-type readReply struct {
-	Oldest  int64       `json:"oldest"`
-	Next    int64       `json:"next"`
-	Records []readEntry `json:"records"`
-}
+// Client reads the list from the platform at one address.
+type Client struct {
+	addr   string
+	domain string
+	http   *http.Client
 
-type expiredReply struct {
-	Oldest int64 `json:"oldest"`
+	mu      sync.Mutex
+	own     part
+	entries part
 }
 
-// Read gives records from an offset on.
-func (c *Client) Read(ctx context.Context, name string, from int64, wait time.Duration) (stream.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
-	defer cancel()
-	v := url.Values{}
-	v.Set("from", strconv.FormatInt(from, 10))
-	v.Set("wait-ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	var reply readReply
-	err := c.call(ctx, http.MethodGet, "/streams/"+url.PathEscape(name)+"?"+v.Encode(), nil, &reply)
-	var status *statusError
-	if errors.As(err, &status) && status.code == http.StatusGone {
-		var e expiredReply
-		if json.Unmarshal(status.body, &e) == nil {
-			return stream.Page{}, &stream.ExpiredError{From: from, Oldest: e.Oldest}
-		}
-	}
-	if err != nil {
-		return stream.Page{}, errs.At("read "+name, c.addr, err)
-	}
-	page := stream.Page{Oldest: reply.Oldest, Next: reply.Next}
-	for _, r := range reply.Records {
-		page.Entries = append(page.Entries, stream.Entry{Offset: r.Offset, Data: r.Data})
-	}
-	return page, nil
+// New gives a client for an instance of the failure domain.
+func New(addr, domain string, h *http.Client) *Client {
+	return &Client{addr: addr, domain: domain, http: h}
 }
 
 type listedInstance struct {
@@ -161,7 +107,7 @@
 
 func (c *Client) listPart(ctx context.Context, p *part, path string) ([]member.Node, error) {
 	var reply listReply
-	tag, err := c.tagged(ctx, http.MethodGet, path, p.tag, nil, &reply)
+	tag, err := c.get(ctx, path, p.tag, &reply)
 	var status *statusError
 	if errors.As(err, &status) && status.code == http.StatusNotModified {
 		return p.nodes, nil
@@ -189,19 +135,13 @@
 	return fmt.Sprintf("status %d: %s", e.code, errs.Shorten(string(e.body)))
 }
 
-func (c *Client) call(ctx context.Context, method, path string, body []byte, reply any) error {
-	_, err := c.tagged(ctx, method, path, "", body, reply)
-	return err
-}
-
-// tagged calls the platform and gives the reply's entity tag; with a tag of its
-// own it asks for nothing that is the same.
-func (c *Client) tagged(ctx context.Context, method, path, tag string, body []byte, reply any) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+path, bytes.NewReader(body))
+// get reads a part of the list and gives the reply's entity tag; with a tag of
+// its own it asks for nothing that is the same.
+func (c *Client) get(ctx context.Context, path, tag string, reply any) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+path, nil)
 	if err != nil {
 		return "", errors.Wrap(err, "build request")
 	}
-	req.Header.Set(HeaderDomain, c.domain)
 	if tag != "" {
 		req.Header.Set("If-None-Match", tag)
 	}
--- a/internal/standin/cell/cell.go
+++ b/internal/standin/cell/cell.go
@@ -17,6 +17,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/standin/worker"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
+	"github.com/tamaracklink/tamaracklink/platform"
 )
 
 // Config sets up a Cell.
@@ -152,8 +153,8 @@
 	set.Listen = listen
 	set.Platform = c.platAddr
 	env := server.Env{
-		Listen: func(addr string) (net.Listener, error) { return c.listen(addr, domain, name) },
-		Logger: c.cfg.Logger.With().Str("instance", name).Logger(),
+		Listen:  func(addr string) (net.Listener, error) { return c.listen(addr, domain, name) },
+		Streams: platform.Streams, Logger: c.cfg.Logger.With().Str("instance", name).Logger(),
 	}
 	if c.cfg.Net != nil {
 		env.Dial = c.cfg.Net.Dialer(domain, name)
--- a/internal/standin/cell/config_test.go
+++ b/internal/standin/cell/config_test.go
@@ -8,13 +8,13 @@
 
 	"github.com/matryer/is"
 
-	"github.com/tamaracklink/tamaracklink/internal/testing/check"
+	"github.com/tamaracklink/tamaracklink/internal/testing/world"
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
 )
 
 // shortLog is a cell whose streams keep few records, so that they expire often.
-func shortLog(instances int) check.Shape {
-	return check.Shape{
+func shortLog(instances int) world.Shape {
+	return world.Shape{
 		Domains: []string{"sfax", "sousse"}, Instances: instances, Workers: 1, Keep: 60,
 		Set: func(s *server.Settings) { s.SnapshotAge = 2 * time.Second },
 	}
@@ -22,7 +22,7 @@
 
 // watch notes each instance's version again and again and fails when one goes
 // back.
-func watch(w *check.World, stop <-chan struct{}) func() {
+func watch(w *world.World, stop <-chan struct{}) func() {
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		highest := map[string]uint64{}
@@ -54,7 +54,7 @@
 // patches while answers of the log are lost. Each accepted patch is in force
 // everywhere, in its place, and a resend gets its first verdict.
 func TestRacingPatches(t *testing.T) {
-	check.Run(t, check.Shape{Domains: []string{"sfax", "sousse"}, Instances: 2}, func(w *check.World) {
+	world.Run(t, world.Shape{Domains: []string{"sfax", "sousse"}, Instances: 2}, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		stop := make(chan struct{})
 		watched := watch(w, stop)
@@ -95,7 +95,7 @@
 // that start later, or were cut off for longer than the retention, come to the
 // same version; none goes back.
 func TestExpiryAndNewcomers(t *testing.T) {
-	check.Run(t, shortLog(2), func(w *check.World) {
+	world.Run(t, shortLog(2), func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		stop := make(chan struct{})
 		watched := watch(w, stop)
@@ -121,7 +121,7 @@
 // TestStartDuringOutage starts an instance while the platform is down: it takes
 // the newest version that a peer holds, and the domain's state too.
 func TestStartDuringOutage(t *testing.T) {
-	check.Run(t, check.Shape{Domains: []string{"sfax"}, Instances: 2, Minions: 2}, func(w *check.World) {
+	world.Run(t, world.Shape{Domains: []string{"sfax"}, Instances: 2, Minions: 2}, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		code, _ := w.Patch("sfax-e1", "p", 1, share("red", 7))
 		is.Equal(code, 200)
@@ -132,7 +132,7 @@
 		_, err := w.StartInstance("sfax-e9", "sfax", "127.0.0.1:0")
 		is.NoErr(err)
 		w.InForce(2)
-		g := w.Request(check.Ask{Instance: "sfax-e9", Text: "hello", Idempotent: true})
+		g := w.Request(world.Ask{Instance: "sfax-e9", Text: "hello", Idempotent: true})
 		is.Equal(g.Outcome, "answered") // handed to a peer: it owns no minion yet
 		code, _ = w.Patch("sfax-e9", "late", 2, share("red", 8))
 		is.Equal(code, 503) // unknown, never "accepted"
@@ -146,7 +146,7 @@
 // TestWorkSurvivesExpiry runs jobs while the domain's stream expires again and
 // again and instances are replaced.
 func TestWorkSurvivesExpiry(t *testing.T) {
-	check.Run(t, shortLog(2), func(w *check.World) {
+	world.Run(t, shortLog(2), func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		is.Equal(w.Submit("sfax-e1", batch("long", 6, 70*time.Second)), 200)
 		for n := range 20 {
--- a/internal/standin/cell/request_test.go
+++ b/internal/standin/cell/request_test.go
@@ -9,17 +9,17 @@
 	"github.com/matryer/is"
 
 	"github.com/tamaracklink/tamaracklink/internal/standin/minion"
-	"github.com/tamaracklink/tamaracklink/internal/testing/check"
+	"github.com/tamaracklink/tamaracklink/internal/testing/world"
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
 )
 
-var requestShape = check.Shape{Domains: []string{"sfax"}, Instances: 3, Workers: 0, Minions: 6}
+var requestShape = world.Shape{Domains: []string{"sfax"}, Instances: 3, Workers: 0, Minions: 6}
 
 // load sends requests from many callers until stop is closed and gives what
 // they got.
-func load(w *check.World, callers int, ask check.Ask, stop <-chan struct{}) func() []check.Got {
+func load(w *world.World, callers int, ask world.Ask, stop <-chan struct{}) func() []world.Got {
 	var mu sync.Mutex
-	var got []check.Got
+	var got []world.Got
 	var wg sync.WaitGroup
 	for c := range callers {
 		wg.Go(func() {
@@ -46,13 +46,13 @@
 			}
 		})
 	}
-	return func() []check.Got {
+	return func() []world.Got {
 		wg.Wait()
 		return got
 	}
 }
 
-func outcomes(got []check.Got) map[string]int {
+func outcomes(got []world.Got) map[string]int {
 	m := map[string]int{}
 	for _, g := range got {
 		m[g.Outcome+" "+g.Code]++
@@ -65,9 +65,9 @@
 // connections at once; the world checks it at the end.
 func TestSlotsUnderFaults(t *testing.T) {
 	long := map[string]bool{"owner-killed-with-long-requests": true}
-	faults := map[string]func(w *check.World){
-		"owner-killed-with-long-requests": func(w *check.World) { w.Kill(w.Other("sfax", w.Leader("sfax"))) },
-		"owner-cut-off-from-all-but-minions": func(w *check.World) {
+	faults := map[string]func(w *world.World){
+		"owner-killed-with-long-requests": func(w *world.World) { w.Kill(w.Other("sfax", w.Leader("sfax"))) },
+		"owner-cut-off-from-all-but-minions": func(w *world.World) {
 			leader := w.Leader("sfax")
 			cut := w.Other("sfax", leader)
 			for _, zone := range []string{"platform", "sfax-e1", "sfax-e2", "sfax-e3"} {
@@ -76,16 +76,16 @@
 				}
 			}
 		},
-		"owner-killed":       func(w *check.World) { w.Kill(w.Other("sfax", w.Leader("sfax"))) },
-		"leader-killed":      func(w *check.World) { w.Kill(w.Leader("sfax")) },
-		"stopped-as-planned": func(w *check.World) { w.Stop("sfax-e2") },
-		"joins":              func(w *check.World) { _, _ = w.StartInstance("sfax-e9", "sfax", "127.0.0.1:0") },
-		"platform-down": func(w *check.World) {
+		"owner-killed":       func(w *world.World) { w.Kill(w.Other("sfax", w.Leader("sfax"))) },
+		"leader-killed":      func(w *world.World) { w.Kill(w.Leader("sfax")) },
+		"stopped-as-planned": func(w *world.World) { w.Stop("sfax-e2") },
+		"joins":              func(w *world.World) { _, _ = w.StartInstance("sfax-e9", "sfax", "127.0.0.1:0") },
+		"platform-down": func(w *world.World) {
 			w.Platform.Gate.SetDown(true)
 			time.Sleep(15 * time.Second)
 			w.Platform.Gate.SetDown(false)
 		},
-		"killed-while-platform-down": func(w *check.World) {
+		"killed-while-platform-down": func(w *world.World) {
 			w.Platform.Gate.SetDown(true)
 			time.Sleep(5 * time.Second)
 			w.Kill(w.Other("sfax", w.Leader("sfax")))
@@ -95,10 +95,10 @@
 	}
 	for name, hit := range faults {
 		t.Run(name, func(t *testing.T) {
-			check.Run(t, requestShape, func(w *check.World) {
+			world.Run(t, requestShape, func(w *world.World) {
 				is := is.NewRelaxed(w.T)
 				stop := make(chan struct{})
-				ask := check.Ask{Idempotent: true, Work: 300 * time.Millisecond, Class: "patient"}
+				ask := world.Ask{Idempotent: true, Work: 300 * time.Millisecond, Class: "patient"}
 				least := 500
 				if long[name] {
 					ask.Work = 8 * time.Second
@@ -121,7 +121,7 @@
 // instances, over lost answers, killed instances and a platform that is down.
 // The oracle at the minions counts runs for each key.
 func TestAtMostOnce(t *testing.T) {
-	check.Run(t, requestShape, func(w *check.World) {
+	world.Run(t, requestShape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		for name, m := range w.Minions {
 			m.SetFaults(minion.Faults{NoAnswers: name == "sfax-m1" || name == "sfax-m2", CutAnswers: name == "sfax-m3"})
@@ -136,7 +136,7 @@
 				certain := true
 				for try := range 4 {
 					nodes := w.Nodes()
-					g := w.Request(check.Ask{Instance: nodes[(n+try)%len(nodes)].Name, Text: key, Key: key, Deadline: 3 * time.Second})
+					g := w.Request(world.Ask{Instance: nodes[(n+try)%len(nodes)].Name, Text: key, Key: key, Deadline: 3 * time.Second})
 					certain = certain && g.Outcome == "not-run"
 					if g.Outcome == "answered" {
 						return
@@ -166,12 +166,12 @@
 func TestUnkeyedNotRetried(t *testing.T) {
 	shape := requestShape
 	shape.Minions = 1
-	check.Run(t, shape, func(w *check.World) {
+	world.Run(t, shape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		m := w.Minions["sfax-m1"]
 		m.SetFaults(minion.Faults{CutAnswers: true})
 		for n := range 5 {
-			g := w.Request(check.Ask{Instance: "sfax-e1", Text: fmt.Sprint(n)})
+			g := w.Request(world.Ask{Instance: "sfax-e1", Text: fmt.Sprint(n)})
 			is.Equal(g.Outcome, "unknown")
 		}
 		is.Equal(m.Counts().Total, 5)
@@ -181,13 +181,13 @@
 // TestWrongAnswers has minions cut answers short, answer for another request or
 // twice. No such answer is passed on; idempotent requests are saved by others.
 func TestWrongAnswers(t *testing.T) {
-	check.Run(t, requestShape, func(w *check.World) {
+	world.Run(t, requestShape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		w.Minions["sfax-m3"].SetFaults(minion.Faults{CutAnswers: true}) // the fastest
 		w.Minions["sfax-m2"].SetFaults(minion.Faults{WrongID: true})
 		w.Minions["sfax-m1"].SetFaults(minion.Faults{Twice: true})
 		stop := make(chan struct{})
-		wait := load(w, 40, check.Ask{Idempotent: true}, stop)
+		wait := load(w, 40, world.Ask{Idempotent: true}, stop)
 		time.Sleep(5 * time.Second)
 		close(stop)
 		m := outcomes(wait())
@@ -202,10 +202,10 @@
 // good under load. Requests on them are saved within about 2 s, and the minions,
 // which answer on new connections, are not blamed.
 func TestSilentConnections(t *testing.T) {
-	check.Run(t, requestShape, func(w *check.World) {
+	world.Run(t, requestShape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		stop := make(chan struct{})
-		wait := load(w, 20, check.Ask{Idempotent: true, Work: 50 * time.Millisecond}, stop)
+		wait := load(w, 20, world.Ask{Idempotent: true, Work: 50 * time.Millisecond}, stop)
 		time.Sleep(2 * time.Second)
 		for _, m := range w.Minions {
 			m.SilenceOpen()
@@ -232,10 +232,10 @@
 
 // TestLeavingMinion gets nothing new once it refuses, before the list says so.
 func TestLeavingMinion(t *testing.T) {
-	check.Run(t, requestShape, func(w *check.World) {
+	world.Run(t, requestShape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		stop := make(chan struct{})
-		wait := load(w, 12, check.Ask{Idempotent: true}, stop)
+		wait := load(w, 12, world.Ask{Idempotent: true}, stop)
 		time.Sleep(time.Second)
 		m := w.Minions["sfax-m3"] // the fastest, which every request would go to
 		m.SetLeaving(true)
@@ -252,12 +252,12 @@
 // TestPlannedStop stops an instance with long requests under way: each of them
 // is answered.
 func TestPlannedStop(t *testing.T) {
-	check.Run(t, requestShape, func(w *check.World) {
+	world.Run(t, requestShape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		var wg sync.WaitGroup
 		for n := range 8 {
 			wg.Go(func() {
-				g := w.Request(check.Ask{Instance: "sfax-e2", Text: fmt.Sprint(n), Class: "patient", Work: 40 * time.Second, Deadline: 55 * time.Second})
+				g := w.Request(world.Ask{Instance: "sfax-e2", Text: fmt.Sprint(n), Class: "patient", Work: 40 * time.Second, Deadline: 55 * time.Second})
 				is.Equal(g.Outcome, "answered")
 			})
 		}
@@ -271,13 +271,13 @@
 // goes on serving from its own minions, and overflow is handed to the other
 // domain before the cut and after it.
 func TestCutDomain(t *testing.T) {
-	shape := check.Shape{Domains: []string{"sfax", "sousse"}, Instances: 2, Workers: 0, Minions: 2}
-	check.Run(t, shape, func(w *check.World) {
+	shape := world.Shape{Domains: []string{"sfax", "sousse"}, Instances: 2, Workers: 0, Minions: 2}
+	world.Run(t, shape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		count := func() int { return w.Minions["sousse-m1"].Counts().Total + w.Minions["sousse-m2"].Counts().Total }
 		busy := func(d time.Duration) map[string]int {
 			stop := make(chan struct{})
-			wait := load(w, 30, check.Ask{Instance: "sfax-e1", Class: "patient", Idempotent: true, Work: 200 * time.Millisecond}, stop)
+			wait := load(w, 30, world.Ask{Instance: "sfax-e1", Class: "patient", Idempotent: true, Work: 200 * time.Millisecond}, stop)
 			time.Sleep(d)
 			close(stop)
 			return outcomes(wait())
@@ -317,7 +317,7 @@
 }
 
 func retryBudget(t *testing.T, faults func(name string) minion.Faults) {
-	check.Run(t, requestShape, func(w *check.World) {
+	world.Run(t, requestShape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		runs := func() (n int) {
 			for _, m := range w.Minions {
@@ -334,7 +334,7 @@
 			}
 			before := runs()
 			stop := make(chan struct{})
-			wait := load(w, 30, check.Ask{Idempotent: true, Work: 30 * time.Millisecond}, stop)
+			wait := load(w, 30, world.Ask{Idempotent: true, Work: 30 * time.Millisecond}, stop)
 			time.Sleep(8 * time.Second)
 			close(stop)
 			return len(wait()), runs() - before
@@ -356,7 +356,7 @@
 	shape := requestShape
 	shape.Minions = 3
 	shape.Set = func(s *server.Settings) { s.Grant = 10 * time.Second }
-	check.Run(t, shape, func(w *check.World) {
+	world.Run(t, shape, func(w *world.World) {
 		cut := w.Other("sfax", w.Leader("sfax"))
 		for _, zone := range []string{"platform", "sfax-e1", "sfax-e2", "sfax-e3"} {
 			if zone != cut {
@@ -368,7 +368,7 @@
 			for n := range 60 {
 				name := fmt.Sprintf("sfax-e%d", n%3+1)
 				wg.Go(func() {
-					w.Request(check.Ask{Instance: name, Text: fmt.Sprint(n), Idempotent: true, Work: 3 * time.Second, Class: "patient", Deadline: 8 * time.Second})
+					w.Request(world.Ask{Instance: name, Text: fmt.Sprint(n), Idempotent: true, Work: 3 * time.Second, Class: "patient", Deadline: 8 * time.Second})
 				})
 			}
 			wg.Wait()
--- a/internal/standin/cell/work_test.go
+++ b/internal/standin/cell/work_test.go
@@ -8,11 +8,11 @@
 	"github.com/matryer/is"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
-	"github.com/tamaracklink/tamaracklink/internal/testing/check"
+	"github.com/tamaracklink/tamaracklink/internal/testing/world"
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
 )
 
-var oneDomain = check.Shape{Domains: []string{"sfax"}, Instances: 3, Workers: 4, Minions: 0}
+var oneDomain = world.Shape{Domains: []string{"sfax"}, Instances: 3, Workers: 4, Minions: 0}
 
 func batch(id string, tasks int, run time.Duration) work.JobSpec {
 	return work.JobSpec{ID: id, Kind: work.KindBatch, Tasks: tasks, Run: run.Milliseconds(), Retries: 3, Size: work.Size{CPU: 4000, Memory: 1024}}
@@ -24,29 +24,29 @@
 func TestLeaderFaults(t *testing.T) {
 	faults := []struct {
 		name string
-		hit  func(w *check.World)
+		hit  func(w *world.World)
 	}{
-		{"killed", func(w *check.World) { w.Kill(w.Leader("sfax")) }},
-		{"stopped-as-planned", func(w *check.World) { w.Stop(w.Leader("sfax")) }},
-		{"log-answers-lost", func(w *check.World) { w.Platform.LoseAnswers(20) }},
-		{"log-slow", func(w *check.World) {
+		{"killed", func(w *world.World) { w.Kill(w.Leader("sfax")) }},
+		{"stopped-as-planned", func(w *world.World) { w.Stop(w.Leader("sfax")) }},
+		{"log-answers-lost", func(w *world.World) { w.Platform.LoseAnswers(20) }},
+		{"log-slow", func(w *world.World) {
 			w.Platform.Gate.SetSlow(700 * time.Millisecond)
 			time.Sleep(20 * time.Second)
 			w.Platform.Gate.SetSlow(0)
 		}},
-		{"cut-from-the-platform", func(w *check.World) {
+		{"cut-from-the-platform", func(w *world.World) {
 			w.Net.Cut("sfax", "platform")
 			time.Sleep(40 * time.Second)
 			w.Net.Heal("sfax", "platform")
 		}},
-		{"killed-during-an-outage", func(w *check.World) {
+		{"killed-during-an-outage", func(w *world.World) {
 			w.Platform.Gate.SetDown(true)
 			time.Sleep(10 * time.Second)
 			w.Kill(w.Leader("sfax"))
 			time.Sleep(30 * time.Second)
 			w.Platform.Gate.SetDown(false)
 		}},
-		{"two-killed", func(w *check.World) {
+		{"two-killed", func(w *world.World) {
 			w.Kill(w.Leader("sfax"))
 			time.Sleep(500 * time.Millisecond)
 			w.Kill(w.Nodes()[0].Name)
@@ -54,7 +54,7 @@
 	}
 	for _, f := range faults {
 		t.Run(f.name, func(t *testing.T) {
-			check.Run(t, oneDomain, func(w *check.World) {
+			world.Run(t, oneDomain, func(w *world.World) {
 				is := is.NewRelaxed(w.T)
 				first := w.Nodes()[0].Name
 				for n := range 6 {
@@ -85,7 +85,7 @@
 			shape := oneDomain
 			shape.Instances = 2
 			shape.Set = func(s *server.Settings) { s.Rest = 3 * time.Minute }
-			check.Run(t, shape, func(w *check.World) {
+			world.Run(t, shape, func(w *world.World) {
 				is := is.NewRelaxed(w.T)
 				is.Equal(w.Submit("sfax-e1", batch("b", 40, 6*time.Second)), 200)
 				time.Sleep(3 * time.Second)
@@ -114,7 +114,7 @@
 // TestSilentWorker cuts one worker off. Its batch tasks run again elsewhere, but
 // only after their leases have lapsed, which the oracle sees at the worker.
 func TestSilentWorker(t *testing.T) {
-	check.Run(t, oneDomain, func(w *check.World) {
+	world.Run(t, oneDomain, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		is.Equal(w.Submit("sfax-e1", batch("b", 16, 20*time.Second)), 200)
 		time.Sleep(2 * time.Second)
@@ -135,7 +135,7 @@
 
 // TestWorkerRestarts loses a worker's tasks; they run again.
 func TestWorkerRestarts(t *testing.T) {
-	check.Run(t, oneDomain, func(w *check.World) {
+	world.Run(t, oneDomain, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		is.Equal(w.Submit("sfax-e1", batch("b", 16, 10*time.Second)), 200)
 		time.Sleep(3 * time.Second)
@@ -149,7 +149,7 @@
 // TestOutageKeepsWork takes the platform away for longer than the lease of a
 // batch task: promises between the instances carry the leader, so the tasks go on.
 func TestOutageKeepsWork(t *testing.T) {
-	check.Run(t, oneDomain, func(w *check.World) {
+	world.Run(t, oneDomain, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		is.Equal(w.Submit("sfax-e1", batch("b", 8, 60*time.Second)), 200)
 		time.Sleep(4 * time.Second)
@@ -165,7 +165,7 @@
 // TestBadWorkerAndBadJob has one worker fail all that it starts and one job fail
 // everywhere. The worker is set aside and comes back; the good jobs all end well.
 func TestBadWorkerAndBadJob(t *testing.T) {
-	check.Run(t, oneDomain, func(w *check.World) {
+	world.Run(t, oneDomain, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		bad := w.Workers["sfax-w1"]
 		bad.FailAll(true)
@@ -209,7 +209,7 @@
 // TestCancel cancels a queued, a running and a gang job: what never started ends
 // as not-run, and nothing is left running.
 func TestCancel(t *testing.T) {
-	check.Run(t, oneDomain, func(w *check.World) {
+	world.Run(t, oneDomain, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		is.Equal(w.Submit("sfax-e1", batch("running", 32, 10*time.Minute)), 200)
 		time.Sleep(3 * time.Second)
@@ -228,7 +228,7 @@
 
 // TestServiceFollowsConfiguration starts, resizes and ends a service by patches.
 func TestServiceFollowsConfiguration(t *testing.T) {
-	check.Run(t, oneDomain, func(w *check.World) {
+	world.Run(t, oneDomain, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		running := func(n int) func() bool {
 			return func() bool {
@@ -266,7 +266,7 @@
 func TestFullWorkerReturns(t *testing.T) {
 	shape := oneDomain
 	shape.Workers = 2
-	check.Run(t, shape, func(w *check.World) {
+	world.Run(t, shape, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
 		service := `{"services":{"desk":{"tenant":"red","domain":"sfax","class":"normal","replicas":4,"size":{"cpu-milli":8000,"memory-mib":64,"accelerators":0},"command":"x"}}}`
 		code, _ := w.Patch("sfax-e1", "p1", 1, service)
--- a/internal/standin/platf/platf.go
+++ b/internal/standin/platf/platf.go
@@ -1,23 +1,22 @@
-// Package platf is a small stand-in for the platform: append-only streams with
-// offsets, limited retention and outages, and a list of instances that lags.
-// It is for tests and the try-out only.
+// Package platf is a small stand-in for the platform of the product's own request
+// path: the store, with limited retention and outages, and a list of instances
+// that lags. It is for tests and the try-out only.
 package platf
 
 import (
 	"fmt"
 	"net/http"
-	"strconv"
+	"net/http/httptest"
 	"sync"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/tamaracklink/tamaracklink/internal/standin/httpd"
+	"github.com/tamaracklink/tamaracklink/internal/standin/wire"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
-const maxPage = 2000 // records in one answer
-
 // Instance is an entry of the list.
 type Instance struct {
 	Name     string    `json:"name"`
@@ -39,29 +38,20 @@
 
 // Platform is the stand-in.
 type Platform struct {
-	Gate httpd.Gate
-	lag  time.Duration
-	keep int // records kept in each stream
+	Gate  httpd.Gate
+	lag   time.Duration
+	plant *wire.Plant // holds the streams
 
 	mu      sync.Mutex
-	streams map[string]*streamLog
 	list    map[string]Instance
 	listed  int      // changes that are visible
 	changes []change // not visible yet
 	logDown bool
-	lose    int // appends to come whose answer is lost
-	appends int
-}
-
-type streamLog struct {
-	oldest  int64
-	records [][]byte
-	changed chan struct{}
 }
 
 // New gives a platform whose list lags and whose streams keep so many records.
 func New(lag time.Duration, keep int) *Platform {
-	return &Platform{lag: lag, keep: keep, streams: map[string]*streamLog{}, list: map[string]Instance{}}
+	return &Platform{lag: lag, plant: &wire.Plant{Keep: keep}, list: map[string]Instance{}}
 }
 
 // Put lists an instance, after the lag.
@@ -85,39 +75,56 @@
 	p.logDown = down
 }
 
+// logGated lets calls of the store through while platform and log are up. What
+// has waited for records meanwhile is not answered either.
 func (p *Platform) logGated(h httprouter.Handle) httprouter.Handle {
 	return p.gated(func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-		p.mu.Lock()
-		down := p.logDown
-		p.mu.Unlock()
-		if down {
+		if p.closed(r) {
 			http.Error(w, "the log is down", http.StatusServiceUnavailable)
 			return
 		}
-		h(w, r, ps)
+		if r.Method != http.MethodGet {
+			h(w, r, ps)
+			return
+		}
+		answer := httptest.NewRecorder()
+		h(answer, r, ps)
+		if p.closed(r) {
+			http.Error(w, "the log is down", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(answer.Code)
+		// A caller that has left is told by its own side.
+		_, _ = w.Write(answer.Body.Bytes())
 	})
 }
 
-// LoseAnswers makes the next n appends take effect without an answer.
-func (p *Platform) LoseAnswers(n int) {
+func (p *Platform) closed(r *http.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lose = n
+	return p.logDown || p.Gate.Closed(r.Header.Get(httpd.HeaderDomain))
+}
+
+// LoseAnswers makes the next n appends to each stream take effect without an
+// answer.
+func (p *Platform) LoseAnswers(n int) {
+	for _, s := range p.plant.Topics() {
+		s.LoseAnswers(n)
+	}
 }
 
 // Appends counts the appends so far.
 func (p *Platform) Appends() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.appends
+	n := 0
+	for _, s := range p.plant.Topics() {
+		n += s.Appends()
+	}
+	return n
 }
 
 // Records counts the records that a stream has had.
-func (p *Platform) Records(name string) int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.stream(name)
-	return s.oldest + int64(len(s.records))
+func (p *Platform) Records(stream string) int {
+	return p.plant.Topic(wire.TopicLedger + "." + stream).Records()
 }
 
 // Handler serves the platform's protocol.
@@ -126,8 +133,7 @@
 	r.GET("/instances", p.gated(p.getList))
 	r.PUT("/instances/:name", p.putInstance)
 	r.DELETE("/instances/:name", p.deleteInstance)
-	r.POST("/streams/:name", p.logGated(p.postRecords))
-	r.GET("/streams/:name", p.logGated(p.getRecords))
+	p.plant.ServeStore(r, p.logGated)
 	r.POST("/faults", p.postFaults)
 	return r
 }
@@ -187,100 +193,6 @@
 	p.Delete(ps.ByName("name"))
 }
 
-func (p *Platform) stream(name string) *streamLog {
-	s := p.streams[name]
-	if s == nil {
-		s = &streamLog{changed: make(chan struct{})}
-		p.streams[name] = s
-	}
-	return s
-}
-
-func (p *Platform) postRecords(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-	var q struct {
-		Records [][]byte `json:"records"`
-	}
-	if !httpd.Read(w, r, &q) {
-		return
-	}
-	p.mu.Lock()
-	s := p.stream(ps.ByName("name"))
-	first := s.oldest + int64(len(s.records))
-	s.records = append(s.records, q.Records...)
-	if over := len(s.records) - p.keep; over > 0 {
-		s.records = append([][]byte(nil), s.records[over:]...)
-		s.oldest += int64(over)
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-	p.appends++
-	lost := p.lose > 0
-	if lost {
-		p.lose--
-	}
-	p.mu.Unlock()
-	if lost {
-		panic(http.ErrAbortHandler)
-	}
-	httpd.Reply(w, map[string]int64{"first-offset": first})
-}
-
-type entry struct {
-	Offset int64  `json:"offset"`
-	Data   []byte `json:"data"`
-}
-
-func (p *Platform) getRecords(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
-	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
-	if err != nil || from < 0 {
-		http.Error(w, "from: an offset of 0 or more", http.StatusBadRequest)
-		return
-	}
-	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait-ms"), 10, 64)
-	p.await(r, ps.ByName("name"), from, time.Duration(wait)*time.Millisecond)
-	if p.Gate.Closed(r.Header.Get(httpd.HeaderDomain)) {
-		http.Error(w, "the platform is down", http.StatusServiceUnavailable)
-		return
-	}
-	p.mu.Lock()
-	s := p.stream(ps.ByName("name"))
-	oldest, next := s.oldest, s.oldest+int64(len(s.records))
-	var out []entry
-	for o := max(from, oldest); from >= oldest && o < next && len(out) < maxPage; o++ {
-		out = append(out, entry{o, s.records[o-oldest]})
-	}
-	p.mu.Unlock()
-	if from < oldest {
-		w.WriteHeader(http.StatusGone)
-		httpd.Reply(w, map[string]int64{"oldest": oldest})
-		return
-	}
-	httpd.Reply(w, map[string]any{"oldest": oldest, "next": next, "records": out})
-}
-
-// await waits until the stream holds the offset.
-func (p *Platform) await(r *http.Request, name string, from int64, wait time.Duration) {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	for {
-		p.mu.Lock()
-		s := p.stream(name)
-		changed := s.changed
-		has := s.oldest+int64(len(s.records)) > from
-		p.mu.Unlock()
-		if has {
-			return
-		}
-		select {
-		case <-changed:
-		case <-t.C:
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 func (p *Platform) postFaults(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var q struct {
 		Down        bool     `json:"down"`
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -44,6 +44,8 @@
 	changed  chan struct{}
 	troubles map[string]Trouble // by client; "" for all
 	slow     int                // how many times longer answers take
+	keep     int64              // records kept, 0 for all
+	lose     int                // appends to come whose answer is lost
 	appends  int
 }
 
@@ -75,6 +77,27 @@
 	s.slow = x
 }
 
+// Keep makes the log keep the newest n records and the newest of each key.
+func (s *Store) Keep(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keep = int64(n)
+}
+
+// LoseAnswers makes the next n appends take effect without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// Records gives the number of records that the log has had.
+func (s *Store) Records() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records)
+}
+
 // Appends gives the number of appends taken.
 func (s *Store) Appends() int {
 	s.mu.Lock()
@@ -172,6 +195,12 @@
 		<-ctx.Done()
 		return 0, ErrNoAnswer
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose > 0 {
+		s.lose--
+		return 0, ErrNoAnswer
+	}
 	return end, err
 }
 
@@ -181,6 +210,9 @@
 func (s *Store) apply(p ledger.Producer, seq int64, records []ledger.Record) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if p.Name == "" {
+		return s.add(records), nil
+	}
 	l := s.last[p.Name]
 	if l == nil {
 		l = &producer{epoch: -1}
@@ -198,6 +230,14 @@
 	if seq != l.seq+1 {
 		return 0, &ledger.SequenceError{Expected: l.seq + 1}
 	}
+	l.seq = seq
+	l.ends[seq] = s.add(records)
+	delete(l.ends, seq-keptAnswers)
+	return l.ends[seq], nil
+}
+
+// add appends records and gives the offset after them. The lock is held.
+func (s *Store) add(records []ledger.Record) int64 {
 	for _, r := range records {
 		s.records = append(s.records, r)
 		if len(r.Value) == 0 {
@@ -207,11 +247,12 @@
 		s.newest[r.Key] = int64(len(s.records) - 1)
 	}
 	s.appends++
-	l.seq = seq
-	l.ends[seq] = int64(len(s.records))
-	delete(l.ends, seq-keptAnswers)
+	end := int64(len(s.records))
+	if s.keep > 0 {
+		s.first = max(s.first, end-s.keep)
+	}
 	s.wake()
-	return l.ends[seq], nil
+	return end
 }
 
 // wake tells readers that something has changed. The lock is held.
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,12 +25,39 @@
 // Plant is a platform in one process: a store for each topic, a fleet, and a
 // placement service that allows every worker.
 type Plant struct {
-	Topics map[string]*store.Store
-	Fleet  *fleet.Fleet
+	// Keep is the number of records that a topic keeps, 0 for all.
+	Keep  int
+	Fleet *fleet.Fleet
 	// Service is what the workers belong to.
 	Service string
 	// TicketFor is how long the placement service's tickets hold.
 	TicketFor time.Duration
+
+	mu     sync.Mutex
+	topics map[string]*store.Store
+}
+
+// Topic gives a topic's store. It begins empty with its first use.
+func (p *Plant) Topic(name string) *store.Store {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.topics == nil {
+		p.topics = map[string]*store.Store{}
+	}
+	s := p.topics[name]
+	if s == nil {
+		s = store.New(uint64(len(p.topics) + 1))
+		s.Keep(p.Keep)
+		p.topics[name] = s
+	}
+	return s
+}
+
+// Topics gives the stores of all topics used so far.
+func (p *Plant) Topics() []*store.Store {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.topics))
 }
 
 // Topics of the platform's store.
@@ -44,19 +74,20 @@
 // workers are told apart by the path's first part.
 func (p *Plant) Handler() http.Handler {
 	m := httprouter.New()
-	m.POST("/log-append", p.logAppend)
-	m.GET("/log-read", p.logRead)
-	m.GET("/log-newest", p.logNewest)
+	p.ServeStore(m, func(h httprouter.Handle) httprouter.Handle { return h })
 	m.POST("/advise", p.advise)
 	return m
 }
 
+// ServeStore adds the store's calls to a router, each through wrap.
+func (p *Plant) ServeStore(m *httprouter.Router, wrap func(httprouter.Handle) httprouter.Handle) {
+	m.POST("/log-append", wrap(p.logAppend))
+	m.GET("/log-read", wrap(p.logRead))
+	m.GET("/log-newest", wrap(p.logNewest))
+}
+
 func (p *Plant) topic(r *http.Request) ledger.Log {
-	s := p.Topics[r.URL.Query().Get("topic")]
-	if s == nil {
-		s = store.New(1)
-	}
-	return s.Log(wireClient)
+	return p.Topic(r.URL.Query().Get("topic")).Log(wireClient)
 }
 
 func number(r *http.Request, name string) int64 {
--- a/internal/testing/check/world.go
+++ b/internal/testing/world/world.go
@@ -1,6 +1,5 @@
-// Package check helps the project's tests: a whole cell in virtual time, golden
-// files, and the fixed seed of the stateful tests.
-package check
+// Package world plays a whole cell in virtual time for tests, with callers.
+package world
 
 import (
 	"bytes"
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -16,6 +16,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/coordination/conf"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/entry"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/leader"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/once"
 	"github.com/tamaracklink/tamaracklink/internal/protocol/minion"
@@ -42,8 +43,11 @@
 type Env struct {
 	Listen func(addr string) (net.Listener, error)
 	Dial   func(ctx context.Context, network, addr string) (net.Conn, error)
-	Now    func() time.Time
-	Logger zerolog.Logger
+	// Streams gives the store at addr, called through h, as logs by the name of a
+	// stream. It must be set.
+	Streams func(addr string, h *http.Client) func(stream string) ledger.Log
+	Now     func() time.Time
+	Logger  zerolog.Logger
 }
 
 func (e Env) filled() Env {
@@ -64,6 +68,7 @@
 	member   string
 	logger   zerolog.Logger
 	meters   *meter.Set
+	calls    *http.Client // to the platform
 	platform *plat.Client
 	workers  *worker.Client
 	minions  *minion.Client
@@ -111,12 +116,14 @@
 func (i *Instance) Done() <-chan struct{} { return i.done }
 
 func (i *Instance) build() {
-	i.platform = plat.New(i.set.Platform, i.set.Domain, i.env.Dial)
+	i.calls = plat.NewHTTP(i.set.Domain, i.env.Dial)
+	i.platform = plat.New(i.set.Platform, i.set.Domain, i.calls)
+	streams := i.env.Streams(i.set.Platform, i.calls)
 	i.workers = worker.New(i.set.Domain, i.env.Dial)
 	i.minions = minion.New(i.set.Domain, i.env.Dial)
 	i.peers = peer.NewClient(i.now, i.env.Dial)
 	i.conf = conf.New(conf.Config{
-		Log: i.platform.Log(), SnapshotAge: i.set.SnapshotAge, Fetch: i.fetcher(conf.Stream, false), Now: i.now, Logger: i.logger,
+		Log: streams(conf.Stream), SnapshotAge: i.set.SnapshotAge, Fetch: i.fetcher(conf.Stream, false), Now: i.now, Logger: i.logger,
 	})
 	i.peers.Heard = func(r member.Report, _ time.Time) { i.members.Receive(r) }
 	i.members = member.New(member.Config{
@@ -124,12 +131,12 @@
 		Answered: i.answered, Now: i.now, Logger: i.logger,
 	})
 	i.once = once.New(once.Config{
-		Log: i.platform.Log(), Window: i.set.KeyWindow, SnapshotAge: i.set.SnapshotAge, Now: i.now, Logger: i.logger,
+		Log: streams(once.Stream), Window: i.set.KeyWindow, SnapshotAge: i.set.SnapshotAge, Now: i.now, Logger: i.logger,
 	})
 	i.domain = leader.New(leader.Config{
 		Instance: i.set.Instance, Member: i.member, Addr: i.addr, Domain: i.set.Domain, Terms: i.set.Terms(),
-		BatchEvery: i.set.BatchEvery, RenewEvery: i.set.RenewEvery, SnapshotAge: i.set.SnapshotAge, Log: i.platform.Log(),
-		Fetch: i.fetcher(leader.StreamOf(i.set.Domain), true), Nodes: i.members.Nodes, Peers: i.members.Peers,
+		BatchEvery: i.set.BatchEvery, RenewEvery: i.set.RenewEvery, SnapshotAge: i.set.SnapshotAge,
+		Log: streams(leader.StreamOf(i.set.Domain)), Fetch: i.fetcher(leader.StreamOf(i.set.Domain), true), Nodes: i.members.Nodes, Peers: i.members.Peers,
 		Model: i.conf.Model, ConfigReady: i.conf.Ready, Workers: i.workers.Workers(), Started: i.observeStart,
 		Now: i.now, Logger: i.logger,
 	})
@@ -237,7 +244,7 @@
 func (i *Instance) Abort() { close(i.abort) }
 
 func (i *Instance) close() {
-	i.platform.Close()
+	i.calls.CloseIdleConnections()
 	i.workers.Close()
 	i.minions.Close()
 	i.peers.Close()
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/tools/txtar"
 
 	"github.com/tamaracklink/tamaracklink/internal/testing/check"
+	"github.com/tamaracklink/tamaracklink/internal/testing/world"
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
 )
 
@@ -19,14 +20,14 @@
 // shows the whole reply. After each the instance still answers.
 func TestBadInput(t *testing.T) {
 	check.Golden(t, func(t *testing.T, a *txtar.Archive) (out string) {
-		check.Run(t, check.Shape{Domains: []string{"sfax"}, Instances: 1, Minions: 1}, func(w *check.World) {
+		world.Run(t, world.Shape{Domains: []string{"sfax"}, Instances: 1, Minions: 1}, func(w *world.World) {
 			raw := strings.ReplaceAll(check.Section(a, "request"), "\n", "\r\n")
 			if body := check.Section(a, "body"); body != "" {
 				body = strings.TrimSpace(body)
 				raw = strings.Replace(raw, "LENGTH", fmt.Sprint(len(body)), 1) + body
 			}
 			out = exchange(w, raw)
-			g := w.Request(check.Ask{Instance: "sfax-e1", Text: "still here", Idempotent: true})
+			g := w.Request(world.Ask{Instance: "sfax-e1", Text: "still here", Idempotent: true})
 			if g.Outcome != "answered" {
 				w.T.Errorf("afterwards a good request got %+v", g)
 			}
@@ -39,7 +40,7 @@
 
 // exchange sends raw bytes to the instance and gives what comes back within a
 // minute, less what changes from run to run.
-func exchange(w *check.World, raw string) string {
+func exchange(w *world.World, raw string) string {
 	dial := w.Net.Dialer("sfax")
 	c, err := dial(w.T.Context(), "tcp", w.Node("sfax-e1").Addr)
 	if err != nil {
@@ -62,9 +63,9 @@
 
 // TestTooLarge refuses a body over the limit and keeps nothing of it.
 func TestTooLarge(t *testing.T) {
-	check.Run(t, check.Shape{Domains: []string{"sfax"}, Instances: 1, Minions: 1}, func(w *check.World) {
+	world.Run(t, world.Shape{Domains: []string{"sfax"}, Instances: 1, Minions: 1}, func(w *world.World) {
 		is := is.NewRelaxed(w.T)
-		g := w.Request(check.Ask{Instance: "sfax-e1", Text: strings.Repeat("x", 2<<20), Idempotent: true})
+		g := w.Request(world.Ask{Instance: "sfax-e1", Text: strings.Repeat("x", 2<<20), Idempotent: true})
 		is.Equal(g.Outcome, "not-run")
 		is.Equal(g.Code, "body-too-large")
 		code, body := w.Patch("sfax-e1", "big", 1, `{"tenants":{"x":{"share":1,"pad":"`+strings.Repeat("x", 2<<20)+`"}}}`)
