ledger, intake, core: repeat appends beside the first try; wait for a slow store

Ruled out: the election (leaders stay), the store's rate. Now an append is repeated beside its first try after four times the usual time of an answer, calls wait as long as the store answers anything, and a call of unknown outcome goes through a peer: jobs are known by id.

--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -20,9 +20,9 @@
 
 // Bounds of callers' calls.
 const (
-	// storeWait is how long a call waits for the store before its caller is told
-	// that the outcome is not known; the caller then asks another instance.
-	storeWait = 800 * time.Millisecond
+	// storeWait is how long a call waits for a slow store before its caller is told
+	// that the outcome is not known: callers wait three seconds.
+	storeWait = 2 * time.Second
 	// lookWait is the same for reading the ledger's end.
 	lookWait = 700 * time.Millisecond
 )
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -65,19 +65,21 @@
 
 // Core is an instance's part in the system.
 type Core struct {
-	set     Settings
-	intake  *intake.Intake
-	tail    *ledger.Tail
-	watch   *ledger.Tail
-	index   *flow.Index
-	config  atomic.Pointer[flow.Config]
-	ready   atomic.Bool // the ledger has been read to its end once
-	leads   atomic.Bool
-	reads   atomic.Bool // the newest read of the ledger went well
-	advise  adviseQueue
-	carrier carrier
-	probes  sync.Map // by peer's address: the newest answer whether it is ready
-	peers   atomic.Pointer[map[string]instance]
+	set    Settings
+	intake *intake.Intake
+	tail   *ledger.Tail
+	watch  *ledger.Tail
+	index  *flow.Index
+	config atomic.Pointer[flow.Config]
+	ready  atomic.Bool // the ledger has been read to its end once
+	leads  atomic.Bool
+	reads  atomic.Bool // the newest read of the ledger went well
+	// answeredAt is when the store last answered a read, in nanoseconds.
+	answeredAt atomic.Int64
+	advise     adviseQueue
+	carrier    carrier
+	probes     sync.Map // by peer's address: the newest answer whether it is ready
+	peers      atomic.Pointer[map[string]instance]
 
 	events chan func(now time.Time) // run by the loop, in order
 	done   chan struct{}
@@ -110,6 +112,7 @@
 	c.lead.heardAt = set.Now()
 	c.intake = intake.New(intake.Settings{
 		Log: set.Log, Name: "intake/" + set.Instance + "/" + set.Life, Now: set.Now,
+		Answered: func() time.Time { return time.Unix(0, c.answeredAt.Load()) },
 		Unsure: func(err error, tries int) {
 			c.set.Logger.Warn().Err(err).Int("tries", tries).Msg("intake: append without an answer")
 		},
--- a/internal/coordination/core/lead.go
+++ b/internal/coordination/core/lead.go
@@ -87,6 +87,7 @@
 
 func (c *Core) readOK(now time.Time) {
 	c.reads.Store(true)
+	c.answeredAt.Store(now.UnixNano())
 	if c.lead.failing {
 		c.lead.failing = false
 		c.set.Logger.Info().Msg("ledger: can be read again")
@@ -260,7 +261,7 @@
 }
 
 func (c *Core) leaderWriter(term int64) *ledger.Writer {
-	w := ledger.NewWriter(c.set.Log, ledger.Producer{Name: leaderProducer, Epoch: term}, 1)
+	w := ledger.NewWriter(c.set.Log, ledger.Producer{Name: leaderProducer, Epoch: term}, 1, c.set.Now)
 	w.Unsure = func(err error, tries int) {
 		c.set.Logger.Warn().Err(err).Int("tries", tries).Msg("leader: append without an answer")
 	}
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -114,9 +114,11 @@
 	return false
 }
 
-// handOver calls peers as long as the call has certainly not been carried out.
+// handOver calls peers while the call is not known to have been carried out. To
+// carry it out twice does no harm: a job and its cancellation are known by id.
 func (c *Core) handOver(ctx context.Context, what, id string, err error, call func(ctx context.Context, addr string) error) error {
-	if !errors.Is(err, ErrNotRun) {
+	unknown := errors.Is(err, ErrUnknown)
+	if !unknown && !errors.Is(err, ErrNotRun) {
 		return err
 	}
 	for _, p := range c.handoverPeers() {
@@ -127,9 +129,13 @@
 		err = call(ctx, p)
 		cancel()
 		c.set.Logger.Info().Str("job", id).Str("call", what).Str("peer", p).AnErr("refusal", err).Msg("core: handed over")
-		if !errors.Is(err, ErrNotRun) {
+		if !errors.Is(err, ErrNotRun) && !errors.Is(err, ErrUnknown) {
 			return err
 		}
+		unknown = unknown || errors.Is(err, ErrUnknown)
+	}
+	if unknown {
+		return ErrUnknown
 	}
 	return err
 }
--- a/internal/coordination/core/takeover_test.go
+++ b/internal/coordination/core/takeover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -92,6 +93,55 @@
 	})
 }
 
+// TestServesUnderStoreTrouble checks that a store that is slow, or that loses
+// answers, costs callers time and not their jobs.
+func TestServesUnderStoreTrouble(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(s *site)
+		most time.Duration // from handing in until shown as complete, for nine of ten
+	}{
+		{"slow", func(s *site) { s.Store.Slow(60) }, 2500 * time.Millisecond},
+		{"answers lost", func(s *site) { s.Store.Set("", store.Lossy) }, 1200 * time.Millisecond},
+		{"carried out late", func(s *site) { s.Store.Set("", store.Late) }, 1200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			play(t, 5, func(s *site) {
+				tt.do(s)
+				const jobs = 60
+				late := 0
+				var mu sync.Mutex
+				var wg sync.WaitGroup
+				for n := range jobs {
+					time.Sleep(80 * time.Millisecond)
+					names := s.Names()
+					wg.Go(func() {
+						id, at := fmt.Sprintf("t%d", n), names[n%len(names)]
+						began := time.Now()
+						err := s.Submit(at, s.Job(id, "q", tasks(1, 200)))
+						for err == nil && s.State(at, id) != "complete" && time.Since(began) <= tt.most {
+							time.Sleep(20 * time.Millisecond)
+						}
+						if err != nil || time.Since(began) > tt.most {
+							mu.Lock()
+							defer mu.Unlock()
+							late++
+						}
+					})
+				}
+				wg.Wait()
+				if late > jobs/10 {
+					t.Errorf("%d of %d jobs were refused or not complete within %v", late, jobs, tt.most)
+				}
+				s.Store.Set("", store.Fine)
+				s.Store.Slow(1)
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
+
 // newLeader gives an instance other than old that leads, "" if there is none.
 func (s *site) newLeader(old string) string {
 	for _, name := range s.Names() {
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -13,10 +13,16 @@
 
 // Bounds of taking in.
 const (
-	// stuckAfter is how long an append may be without an answer before further
-	// calls are refused instead of queued.
-	stuckAfter = 600 * time.Millisecond
-	// badTime is how long a failed append counts against the store: without calls
+	// awayAfter is how long an append may be without an answer, while nothing else
+	// is answered either, before the store counts as away: then calls are served
+	// better elsewhere than by waiting.
+	awayAfter = 600 * time.Millisecond
+	// stuckAfter is the same if the store answers other calls; a slow one takes
+	// about a second.
+	stuckAfter = 1800 * time.Millisecond
+	// lookEvery is the time between two looks of a waiting call at that.
+	lookEvery = 100 * time.Millisecond
+	// badTime is how long a refused append counts against the store: without calls
 	// nothing would show that it is well again.
 	badTime    = time.Second
 	maxWaiting = 2000    // calls
@@ -36,6 +42,8 @@
 	Name   string // of the producer; unique to this process
 	Now    func() time.Time
 	Unsure func(err error, tries int) // is told of appends without an answer
+	// Answered tells when the store last answered any call of this instance.
+	Answered func() time.Time
 }
 
 // Intake appends records for many callers.
@@ -75,7 +83,7 @@
 func (n *Intake) Store(ctx context.Context, records ...ledger.Record) error {
 	c := &call{records: records, done: make(chan error, 1)}
 	n.mu.Lock()
-	if len(n.waiting) >= maxWaiting || n.queued > maxQueued || n.stuck() {
+	if len(n.waiting) >= maxWaiting || n.queued > maxQueued || n.away() {
 		n.mu.Unlock()
 		return ErrRefused
 	}
@@ -86,23 +94,46 @@
 	case n.wake <- struct{}{}:
 	default:
 	}
-	select {
-	case err := <-c.done:
-		return err
-	case <-ctx.Done():
-		return n.abandon(c)
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case err := <-c.done:
+			return err
+		case <-ctx.Done():
+			return n.abandon(c)
+		case <-look.C:
+			if !n.Answers() {
+				return n.abandon(c)
+			}
+		}
 	}
 }
 
-// Healthy reports whether the store seems to take appends in good time.
+// Healthy reports whether the store takes appends: not if it has lately refused
+// one or does not answer.
 func (n *Intake) Healthy() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.stuck() && (!n.lastBad.After(n.lastGood) || n.set.Now().Sub(n.lastBad) > badTime)
+	return !n.away() && (!n.lastBad.After(n.lastGood) || n.set.Now().Sub(n.lastBad) > badTime)
 }
 
-func (n *Intake) stuck() bool {
-	return !n.sentAt.IsZero() && n.set.Now().Sub(n.sentAt) > stuckAfter
+// Answers reports whether an answer may still be waited for.
+func (n *Intake) Answers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.away()
+}
+
+// away reports whether an append has been without an answer for too long. The
+// lock is held.
+func (n *Intake) away() bool {
+	if n.sentAt.IsZero() {
+		return false
+	}
+	now := n.set.Now()
+	under := now.Sub(n.sentAt)
+	return under > stuckAfter || (under > awayAfter && now.Sub(n.set.Answered()) > awayAfter)
 }
 
 // abandon gives up a call: it was not stored if it has not been sent yet.
@@ -151,11 +182,8 @@
 }
 
 func (n *Intake) writer(life int) *ledger.Writer {
-	w := ledger.NewWriter(n.set.Log, ledger.Producer{Name: fmt.Sprintf("%s-%d", n.set.Name, life), Epoch: 1}, 0)
-	w.Unsure = func(err error, tries int) {
-		n.refuseWaiting()
-		n.set.Unsure(err, tries)
-	}
+	w := ledger.NewWriter(n.set.Log, ledger.Producer{Name: fmt.Sprintf("%s-%d", n.set.Name, life), Epoch: 1}, 0, n.set.Now)
+	w.Unsure = n.set.Unsure
 	return w
 }
 
@@ -181,19 +209,6 @@
 	return calls, records
 }
 
-// refuseWaiting refuses the calls that have not been sent: an append before them
-// has no answer, and a caller is served better elsewhere than by waiting.
-func (n *Intake) refuseWaiting() {
-	n.mu.Lock()
-	calls := n.waiting
-	n.waiting, n.queued = nil, 0
-	n.lastBad = n.set.Now()
-	n.mu.Unlock()
-	for _, c := range calls {
-		c.done <- ErrRefused
-	}
-}
-
 func (n *Intake) finish(calls []*call, err error) {
 	n.mu.Lock()
 	n.sentAt = time.Time{}
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New(5)
-		n := intake.New(intake.Settings{Log: s.Log("a"), Name: "a", Now: time.Now, Unsure: func(error, int) {}})
+		n := intake.New(intake.Settings{Log: s.Log("a"), Name: "a", Now: time.Now, Unsure: func(error, int) {}, Answered: func() time.Time { return time.Time{} }})
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
