--- /dev/null
+++ b/internal/coordination/core/planned_test.go
@@ -0,0 +1,91 @@
+package core_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// TestStopsInTurn stops and starts all instances one after another, twice, under
+// a load: nothing that was accepted is lost or runs twice.
+func TestStopsInTurn(t *testing.T) {
+	play(t, 4, func(s *site) {
+		stop := s.load("")
+		for range 2 {
+			for _, name := range s.Names() {
+				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+				s.At(name).Leave(ctx)
+				cancel()
+				time.Sleep(200 * time.Millisecond)
+				s.Kill(name)
+				s.Start(name)
+				time.Sleep(800 * time.Millisecond)
+			}
+		}
+		stop()
+		time.Sleep(5 * time.Second)
+		accepted := 0
+		for _, id := range s.Jobs() {
+			if s.Store.Get("j/"+id) != nil {
+				accepted++
+				s.wantState(id, "complete")
+			}
+		}
+		s.is.True(accepted > 100)
+		s.is.Equal(s.Fleet.Starts(), accepted)
+	})
+}
+
+// TestConfigStorm changes the configuration in quick succession, with hundreds of
+// queues added and removed, while instances restart: none goes back to an older
+// version, and all have the newest within a second of it.
+func TestConfigStorm(t *testing.T) {
+	play(t, 4, func(s *site) {
+		base := s.At("e0").Config().Queues
+		seen := map[string]int64{}
+		look := func() {
+			for _, name := range s.Names() {
+				c := s.At(name).Config()
+				if c == nil {
+					continue
+				}
+				if c.Version < seen[name] {
+					t.Errorf("%s went back from version %d to %d", name, seen[name], c.Version)
+				}
+				seen[name] = c.Version
+			}
+		}
+		version := int64(1)
+		for n := range 60 {
+			version += int64(1 + n%7)
+			queues := append([]flow.Queue(nil), base...)
+			for i := range 50 * (n % 8) {
+				queues = append(queues, flow.Queue{Name: fmt.Sprintf("r%d-%d", n, i), Prefix: fmt.Sprintf("/r%d-%d/", n, i), Policy: base[0].Policy})
+			}
+			s.Configure(&flow.Config{Version: version, Queues: queues})
+			if n == 20 || n == 40 {
+				name := s.Follower()
+				s.Kill(name)
+				seen[name] = 0
+				s.Start(name)
+			}
+			for range 10 {
+				look()
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		time.Sleep(time.Second)
+		look()
+		for name, v := range seen {
+			if v != version {
+				t.Errorf("%s has version %d a second after %d", name, v, version)
+			}
+		}
+		s.is.NoErr(s.Submit("e0", s.Job("a", "q", tasks(1, 100))))
+		time.Sleep(time.Second)
+		s.wantState("a", "complete")
+	})
+}
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -43,10 +44,13 @@
 type Site struct {
 	Store *store.Store
 	Fleet *fleet.Fleet
-	conf  *flow.Config
-	log   zerolog.Logger
+	// orders holds the operators' records.
+	orders *store.Store
+	log    zerolog.Logger
 
 	mu    sync.Mutex
+	conf  *flow.Config // the newest
+	confs map[int64]*flow.Config
 	lives int
 	nodes map[string]*node
 	specs map[string]*flow.Spec
@@ -66,8 +70,9 @@
 func New(sh Shape) *Site {
 	s := &Site{
 		Store: store.New(1), log: sh.Logger, nodes: map[string]*node{}, specs: map[string]*flow.Spec{}, mute: map[string]bool{}, machines: map[string]core.Machine{},
-		conf: &flow.Config{Version: 1, Queues: sh.Queues},
+		orders: store.New(2), confs: map[int64]*flow.Config{},
 	}
+	s.Configure(&flow.Config{Version: 1, Queues: sh.Queues})
 	s.Fleet = fleet.New(sh.Workers, sh.Capacity, sh.Service, LeaseMax, s.lookup)
 	return s
 }
@@ -97,8 +102,8 @@
 	c := core.New(core.Settings{
 		Instance: name, Life: life, Domain: "d", Addr: name, Machine: machine,
 		Params: sched.Params{LeaseMax: LeaseMax, LeaderMax: 4 * time.Second, KeepFor: 120 * time.Second},
-		Log:    s.Store.Log(name), Config: s.configLog(),
-		DecodeConfig: func(ledger.Record) (*flow.Config, error) { return s.conf, nil },
+		Log:    s.Store.Log(name), Config: s.orders.Log(name),
+		DecodeConfig: s.decodeConfig,
 		Workers:      s.Fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(began) },
 		Logger: s.log.With().Str("instance", name).Logger(), Meter: meter.New(), Peers: s.peers(), Relay: s.relay(),
 	})
@@ -146,20 +151,30 @@
 	s.mute[name] = mute
 }
 
-// configLog holds the one configuration.
-func (s *Site) configLog() ledger.Log {
-	return ledger.Log{
-		Newest: func(context.Context, string) (ledger.Snapshot, error) {
-			return ledger.Snapshot{Records: []ledger.Record{{Key: "config", Value: []byte{1}}}, End: 1}, nil
-		},
-		Read: func(ctx context.Context, from int64, wait time.Duration) (ledger.Page, error) {
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-			}
-			return ledger.Page{From: from, End: from}, nil
-		},
+// Configure puts a version of the configuration in force, as operators do. The
+// first is version 1.
+func (s *Site) Configure(c *flow.Config) {
+	s.mu.Lock()
+	s.confs[c.Version] = c
+	s.conf = c
+	s.mu.Unlock()
+	record := ledger.Record{Key: keyConfig, Value: strconv.AppendInt(nil, c.Version, 10)}
+	// Without a producer and in no trouble the stand-in takes every append.
+	_, _ = s.orders.Log("operator").Append(context.Background(), ledger.Producer{}, 0, []ledger.Record{record})
+}
+
+// keyConfig is the key of the records that name versions.
+const keyConfig = "config"
+
+// decodeConfig gives the version that a record names.
+func (s *Site) decodeConfig(r ledger.Record) (*flow.Config, error) {
+	v, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err != nil {
+		return nil, err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confs[v], nil
 }
 
 // reach gives a peer's core, nil if it is gone or silent.
@@ -254,9 +269,9 @@
 
 // Job makes a job that the workers know how to run.
 func (s *Site) Job(id, queue string, steps ...flow.Step) *flow.Spec {
-	sp := &flow.Spec{ID: id, Queue: queue, Policy: s.conf.Queue(queue).Policy, Steps: steps, AcceptedMs: time.Now().UnixMilli()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sp := &flow.Spec{ID: id, Queue: queue, Policy: s.conf.Queue(queue).Policy, Steps: steps, AcceptedMs: time.Now().UnixMilli()}
 	s.specs[id] = sp
 	return sp
 }
