state/sched: keep room for gangs on workers that lack least; tests of room and blame

Ruled out: the order of the queue (the gang was first in it). Now one task's room more is kept on the workers that lack least for it. Conclusion: kept, as it ends a starvation.

--- a/internal/state/sched/engine_test.go
+++ b/internal/state/sched/engine_test.go
@@ -156,3 +156,49 @@
 	is.True(most <= flow.MaxOpenTasks/100)
 	is.Equal(s.progress("a").State, flow.Complete)
 }
+
+// TestWorkerSetAside checks that a worker on which one job after another fails
+// gets no more of them for a while.
+func TestWorkerSetAside(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 10, 6)
+	s.workers["w00"].speed = 8
+	s.run(time.Second)
+	s.engine.workers["w00"].Slow = -4
+	s.workers["w00"].failsAll = true
+	for i := range 20 {
+		s.submit(simJob(fmt.Sprintf("a%d", i), "q2", tasks(1, 1000, 400)))
+		s.run(150 * time.Millisecond)
+	}
+	s.run(5 * time.Second)
+	fails := 0
+	for _, n := range s.fails {
+		fails += n
+	}
+	is.Equal(s.failures, nil)
+	is.True(fails >= benchFails)
+	// The worker is set aside for longer than the jobs take to come.
+	is.True(fails <= benchFails+1)
+}
+
+// TestClocksApart checks that jobs accepted by instances whose time of day is off
+// by seconds, either way, run in the order of their steps and come to an end.
+func TestClocksApart(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 11, 6)
+	s.run(time.Second)
+	for i, off := range []int64{-6000, 0, 6000, -2400, 2400} {
+		j := simJob(fmt.Sprintf("a%d", i), "q2", tasks(3, 1000, 200), after(tasks(2, 1000, 100), 0))
+		j.AcceptedMs = s.now.UnixMilli() + off
+		s.submit(j)
+		r := simJob(fmt.Sprintf("r%d", i), "q2", tasks(1, 1000, 100))
+		r.AcceptedMs = s.now.UnixMilli() + off
+		r.Repeat = flow.Repeat{Times: 3, FirstMs: s.now.UnixMilli() + 500, EveryMs: 400}
+		s.submit(r)
+	}
+	s.run(10 * time.Second)
+	is.Equal(s.failures, nil)
+	for _, id := range s.ids {
+		is.Equal(s.progress(id).State, flow.Complete)
+	}
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -96,7 +96,9 @@
 		if p.ranked >= maxRanked {
 			return
 		}
-		if (taskSize(&c.j.Steps[c.step]).Within(p.most) || c.prio < p.lowest) && e.promising(p, c) {
+		// Room is kept for a gang before any of its tasks fits.
+		st := &c.j.Steps[c.step]
+		if (st.Gang || c.prio < p.lowest || taskSize(st).Within(p.most)) && e.promising(p, c) {
 			e.placeStep(p, c)
 		}
 	}
--- a/internal/state/sched/room.go
+++ b/internal/state/sched/room.go
@@ -104,7 +104,7 @@
 		sum += s.fit + s.more
 	}
 	if sum == 0 || (st.Gang && sum < need) {
-		if st.Gang && sum > 0 && e.mayHold(p.now, c) {
+		if st.Gang && len(seats) > 0 && e.mayHold(p.now, c) {
 			e.keep(p, c, st, seats, need)
 		}
 		return nil
@@ -138,16 +138,38 @@
 	return chosen
 }
 
-// keep keeps what room there is for a gang for which it does not suffice yet.
+// keep keeps room for a gang for which it does not suffice yet: what is free, and
+// then room for one task more on workers that lack least for it, so that what
+// comes free there is not taken by others.
 func (e *Engine) keep(p *pass, c candidate, st *flow.Step, seats []*seat, need int) {
+	size := taskSize(st)
+	byFree := append([]*seat(nil), seats...)
+	sort.SliceStable(byFree, func(i, k int) bool {
+		return lacking(byFree[i], size) < lacking(byFree[k], size)
+	})
 	for _, s := range seats {
-		if n := min(s.fit, need); n > 0 {
-			e.holdRoom(p, c, s, taskSize(st).Times(int64(n)))
-			need -= n
+		need -= min(s.fit, need)
+	}
+	for _, s := range byFree {
+		n := s.fit
+		if need > 0 && size.Times(int64(n+1)).Within(s.w.Capacity) {
+			n++
+			need--
+		}
+		if n > 0 {
+			e.holdRoom(p, c, s, size.Times(int64(n)))
 		}
 	}
 }
 
+// lacking gives the share of one more task's processors that a seat lacks.
+func lacking(s *seat, size work.Size) float64 {
+	if size.CPU == 0 {
+		return 0
+	}
+	return 1 - float64(s.free.CPU-int64(s.fit)*size.CPU)/float64(size.CPU)
+}
+
 // lookFurther works out what a worker could take if tasks gave way.
 func (e *Engine) lookFurther(p *pass, c candidate, st *flow.Step, s *seat) {
 	most := len(c.idle)
