--- a/internal/command/oper/status.go
+++ b/internal/command/oper/status.go
@@ -6,34 +6,9 @@
 	"net/http"
 	"sort"
 
-	"github.com/tamaracklink/tamaracklink/internal/coordination/entry"
-	"github.com/tamaracklink/tamaracklink/internal/coordination/leader"
+	"github.com/tamaracklink/tamaracklink/internal/transport/server"
 )
 
-type statusView struct {
-	Instance    string        `json:"instance"`
-	Domain      string        `json:"domain"`
-	Version     uint64        `json:"config-version"`
-	ConfigAgeMS int64         `json:"config-read-age-ms"`
-	Work        leader.Status `json:"work"`
-	Requests    entry.Status  `json:"requests"`
-	Peers       []peerView    `json:"peers"`
-}
-
-type peerView struct {
-	Instance  string `json:"instance"`
-	Domain    string `json:"domain"`
-	AgeMS     int64  `json:"heard-ms-ago"`
-	Version   uint64 `json:"config-version"`
-	TailAgeMS int64  `json:"log-read-age-ms"`
-	Leader    string `json:"leader"`
-	Term      uint64 `json:"term"`
-	Free      int    `json:"free-slots"`
-	Slots     int    `json:"slots"`
-	Waiting   int    `json:"waiting-requests"`
-	Leaving   bool   `json:"leaving"`
-}
-
 func runStatus(ctx context.Context, args []string, io IO) error {
 	c := &call{io: io}
 	f := newFlags("status", "show what one instance knows; ages say how old its knowledge is", io)
@@ -41,7 +16,7 @@
 	if err := parse(f, args, io); err != nil {
 		return err
 	}
-	var s statusView
+	var s server.Status
 	printed, err := c.do(ctx, http.MethodGet, "/v1/status", nil, &s)
 	if err != nil || printed {
 		return err
@@ -50,7 +25,7 @@
 	return nil
 }
 
-func printStatus(io IO, s statusView) {
+func printStatus(io IO, s server.Status) {
 	w := io.Out
 	fmt.Fprintf(w, "instance %s in domain %s\n", s.Instance, s.Domain)
 	fmt.Fprintf(w, "configuration: version %d, log read %d ms ago\n", s.Version, s.ConfigAgeMS)
@@ -61,7 +36,7 @@
 	fmt.Fprintf(w, "\nwork: %d tasks running, %d waiting; jobs %s\n", s.Work.Running, s.Work.Waiting, counts(s.Work.Jobs))
 	fmt.Fprintf(w, "requests: %d under way, waiting %s\n", s.Requests.Active, counts(s.Requests.Waiting))
 	for _, m := range s.Requests.Minions {
-		fmt.Fprintf(w, "  minion %-16s  %-14s  %d of %d slots, %d unconfirmed, right for %d ms\n", m.Name, m.State, m.Busy, m.Slots, m.Ghosts, m.RightMS)
+		fmt.Fprintf(w, "  minion %-16s  %-14s  %d of %d slots, %d unconfirmed, right for %d ms\n", m.Name, m.State, m.Busy, m.Slots, m.Orphans, m.RightMS)
 	}
 	for _, k := range s.Work.Workers {
 		fmt.Fprintf(w, "  worker %-16s  %-14s  %d tasks, used %s of %s\n", k.Name, k.State, k.Tasks, k.Used, k.Cap)
--- a/internal/command/oper/try.go
+++ b/internal/command/oper/try.go
@@ -156,7 +156,7 @@
 	return ""
 }
 
-func (t *trial) status(addr string) (s statusView, ok bool) {
+func (t *trial) status(addr string) (s server.Status, ok bool) {
 	ok = t.get(addr, "/v1/status", &s)
 	return s, ok
 }
--- a/internal/coordination/conf/conf.go
+++ b/internal/coordination/conf/conf.go
@@ -41,10 +41,9 @@
 
 // View is the configuration as this instance knows it.
 type View struct {
-	cfg      Config
-	follower *stream.Follower
-	appender *stream.Appender
-	done     chan struct{}
+	cfg    Config
+	stream *stream.Stream
+	done   chan struct{}
 
 	mu    sync.RWMutex
 	state *config.State
@@ -54,11 +53,10 @@
 func New(cfg Config) *View {
 	v := &View{cfg: cfg, state: config.NewState(), done: make(chan struct{})}
 	fold := stream.Fold{Apply: v.apply, Snapshot: v.Snapshot, Load: v.load, Offset: v.offset, Fetch: cfg.Fetch}
-	v.follower = stream.NewFollower(stream.FollowConfig{
+	v.stream = stream.New(stream.FollowConfig{
 		Stream: Stream, Wait: readWait, Retry: readRetry, SnapshotCount: snapshotEach,
 		SnapshotAge: cfg.SnapshotAge, Now: cfg.Now, Logger: cfg.Logger,
-	}, cfg.Log, fold)
-	v.appender = stream.NewAppender(cfg.Log, Stream, groupPause)
+	}, groupPause, cfg.Log, fold)
 	return v
 }
 
@@ -68,16 +66,14 @@
 // Run follows the stream until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	defer close(v.done)
-	go v.appender.Run(ctx)
-	v.follower.Run(ctx)
-	<-v.appender.Done()
+	v.stream.Run(ctx)
 }
 
 // Ready reports whether a version that was once in force is known.
-func (v *View) Ready() bool { return v.follower.Ready() }
+func (v *View) Ready() bool { return v.stream.Ready() }
 
 // Tail gives the start of the last read that reached the end of the stream.
-func (v *View) Tail() time.Time { return v.follower.Tail() }
+func (v *View) Tail() time.Time { return v.stream.Tail() }
 
 // Version gives the version in force here.
 func (v *View) Version() uint64 {
@@ -126,7 +122,7 @@
 		if verdict, ok := v.verdict(p.ID); ok {
 			return verdict, nil
 		}
-		appendErr := v.appender.Append(ctx, content)
+		appendErr := v.stream.Append(ctx, content)
 		if verdict, ok := v.await(ctx, p.ID); ok {
 			return verdict, nil
 		}
@@ -140,7 +136,7 @@
 	c, cancel := context.WithTimeout(ctx, verdictWait)
 	defer cancel()
 	var verdict config.Verdict
-	err := v.follower.WaitFor(c, func() bool {
+	err := v.stream.WaitFor(c, func() bool {
 		var ok bool
 		verdict, ok = v.verdict(id)
 		return ok
--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -365,14 +365,14 @@
 }
 
 // finish gives the slot back. A request that may still run there keeps the slot
-// as a ghost until the minion says that it does not.
-func (r *Router) finish(f *flight, class string, service time.Duration, ghost bool) {
+// as an orphan until the minion says that it does not.
+func (r *Router) finish(f *flight, class string, service time.Duration, orphan bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.flights, f.id)
 	r.pool.Done(f.minion, class, service)
-	if ghost {
-		f.minion.Ghosts++
+	if orphan {
+		f.minion.Orphans++
 	}
 	r.serve(r.cfg.Now())
 }
--- a/internal/coordination/entry/router.go
+++ b/internal/coordination/entry/router.go
@@ -181,7 +181,7 @@
 type MinionStatus struct {
 	Name    string `json:"name"`
 	Busy    int    `json:"busy"`
-	Ghosts  int    `json:"unconfirmed"`
+	Orphans int    `json:"unconfirmed"`
 	Slots   int    `json:"slots"`
 	State   string `json:"state"`
 	RightMS int64  `json:"right-ms"`
@@ -205,7 +205,7 @@
 	}
 	for _, m := range r.pool.Minions() {
 		s.Minions = append(s.Minions, MinionStatus{
-			Name: m.Name, Busy: m.Busy, Ghosts: m.Ghosts, Slots: m.Slots, State: minionState(m, now),
+			Name: m.Name, Busy: m.Busy, Orphans: m.Orphans, Slots: m.Slots, State: minionState(m, now),
 			RightMS: max(m.Owned.Sub(now).Milliseconds(), 0),
 		})
 	}
--- a/internal/coordination/entry/watch.go
+++ b/internal/coordination/entry/watch.go
@@ -14,7 +14,7 @@
 	silentAfter = 800 * time.Millisecond // an attempt older than this is asked about
 )
 
-// watch asks each minion that has ghosts, was never asked, or owes an answer for
+// watch asks each minion that has orphans, was never asked, or owes an answer for
 // long, what it runs. Questions go over new connections, so that a connection
 // gone silent does not hide a healthy minion.
 func (r *Router) watch(ctx context.Context) {
@@ -28,7 +28,7 @@
 		}
 	}
 	for _, m := range r.pool.Minions() {
-		if (m.Unasked || m.Ghosts > 0 || overdue[m]) && !now.Before(m.AskAt) {
+		if (m.Unasked || m.Orphans > 0 || overdue[m]) && !now.Before(m.AskAt) {
 			m.AskAt = now.Add(loadEvery + askTimeout)
 			r.wg.Go(func() { r.askLoad(ctx, m, now) })
 		}
@@ -71,21 +71,21 @@
 	return mine
 }
 
-// judge sets what the minion runs against what this instance waits for. Ghosts
+// judge sets what the minion runs against what this instance waits for. Orphans
 // can only get fewer: nobody else may dispatch to the minion.
 func (r *Router) judge(m *route.Minion, mine map[string]*flight, load Load, asked time.Time) {
 	running := map[string]bool{}
-	ghosts := 0
+	orphans := 0
 	for _, id := range load.Running {
 		running[id] = true
-		// A request that was sent after the question is not a ghost either.
+		// A request that was sent after the question is not an orphan either.
 		f := r.flights[id]
 		if mine[id] == nil && (f == nil || f.minion != m) {
-			ghosts++
+			orphans++
 		}
 	}
-	if m.Unasked || ghosts < m.Ghosts {
-		m.Ghosts = ghosts
+	if m.Unasked || orphans < m.Orphans {
+		m.Orphans = orphans
 	}
 	m.Unasked = false
 	for id, f := range mine {
--- a/internal/coordination/leader/claim.go
+++ b/internal/coordination/leader/claim.go
@@ -24,7 +24,7 @@
 
 // join asks to be a member of the domain, and again when the record is not read.
 func (d *Domain) join(now time.Time) {
-	if d.leaving || !d.follower.Ready() || d.logDown(now) || now.Sub(d.joining) < rejoinEvery {
+	if d.leaving || !d.stream.Ready() || d.logDown(now) || now.Sub(d.joining) < rejoinEvery {
 		return
 	}
 	if _, ok := d.state.Members[d.cfg.Member]; ok {
@@ -45,7 +45,7 @@
 		return
 	}
 	w := lease.Watch{Heard: d.heard, Promised: d.promised, Joined: d.joined, Acked: m.Acked}
-	if !w.MayClaim(d.follower.Tail(), d.cfg.Terms, d.state.Company()) {
+	if !w.MayClaim(d.stream.Tail(), d.cfg.Terms, d.state.Company()) {
 		return
 	}
 	d.claim = claim{term: d.state.Term + 1, sent: now}
@@ -59,7 +59,7 @@
 	if c.Member != d.cfg.Member || c.Term != d.claim.term || d.leaving {
 		return
 	}
-	d.startReign(d.claim.sent, now)
+	d.beginTerm(d.claim.sent, now)
 }
 
 // send appends a record without waiting for it; what became of it is read back.
@@ -81,7 +81,7 @@
 		c, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		// An error leaves open whether the record counts; the reader tells.
-		_ = d.appender.Append(c, content)
+		_ = d.stream.Append(c, content)
 	})
 }
 
@@ -92,8 +92,8 @@
 	r.Leader = d.state.LeaderName
 	r.Term = d.state.Term
 	r.LogDown = d.logDown(now)
-	r.TailAge = now.Sub(d.follower.Tail())
-	r.AskHold = d.reign != nil && r.LogDown
+	r.TailAge = now.Sub(d.stream.Tail())
+	r.AskHold = d.leadership != nil && r.LogDown
 }
 
 // Answer adds promises to the reply to a heartbeat.
@@ -107,20 +107,20 @@
 		reply.Hold = d.cfg.Terms.Hold
 		d.promised = now.Add(d.cfg.Terms.Hold)
 	}
-	if d.reign == nil || !d.logDown(now) || !d.reign.right.Holds(now, d.cfg.Terms) {
+	if d.leadership == nil || !d.logDown(now) || !d.leadership.right.Holds(now, d.cfg.Terms) {
 		return
 	}
-	reply.Keep = min(d.cfg.Terms.Hold, d.reign.right.End(d.cfg.Terms).Sub(now))
-	d.reign.keeps[from.Member] = now.Add(reply.Keep)
+	reply.Keep = min(d.cfg.Terms.Hold, d.leadership.right.End(d.cfg.Terms).Sub(now))
+	d.leadership.keptUntil[from.Member] = now.Add(reply.Keep)
 }
 
 // mayPromise reports whether this member may promise the leader not to claim.
 // While a claim of its own may still reach the log it may not.
 func (d *Domain) mayPromise(asker string, now time.Time) bool {
-	if asker != d.state.Leader || d.reign != nil || !d.logDown(now) {
+	if asker != d.state.Leader || d.leadership != nil || !d.logDown(now) {
 		return false
 	}
-	open := d.claim.term == d.state.Term+1 && !d.follower.Tail().After(d.claim.sent.Add(appendTimeout))
+	open := d.claim.term == d.state.Term+1 && !d.stream.Tail().After(d.claim.sent.Add(appendTimeout))
 	return !open
 }
 
@@ -131,15 +131,15 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if r.Keep > 0 && r.Member == d.state.Leader && sent.Add(r.Keep).After(d.keep) {
-		d.keep = sent.Add(r.Keep)
+	if r.Keep > 0 && r.Member == d.state.Leader && sent.Add(r.Keep).After(d.minionsKeptUntil) {
+		d.minionsKeptUntil = sent.Add(r.Keep)
 	}
-	if r.Hold <= 0 || d.reign == nil {
+	if r.Hold <= 0 || d.leadership == nil {
 		return
 	}
-	d.reign.promises[r.Member] = sent.Add(r.Hold)
+	d.leadership.promises[r.Member] = sent.Add(r.Hold)
 	if until, ok := d.unanimous(); ok {
-		d.reign.right.Promise(until)
+		d.leadership.right.Promise(until)
 	}
 }
 
@@ -152,7 +152,7 @@
 		if id == d.cfg.Member || !m.Acked || m.Dead {
 			continue
 		}
-		until, ok := d.reign.promises[id]
+		until, ok := d.leadership.promises[id]
 		if !ok {
 			return time.Time{}, false
 		}
--- a/internal/coordination/leader/commit.go
+++ b/internal/coordination/leader/commit.go
@@ -11,7 +11,7 @@
 
 // committed acts on a batch that counts in the log.
 func (d *Domain) committed(b *work.Batch, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	if r == nil || b.Member != d.cfg.Member || b.Term != r.term || r.pending == nil || b.Seq != r.pending.batch.Seq {
 		return
 	}
@@ -30,7 +30,7 @@
 }
 
 func (d *Domain) commitEnds(b *work.Batch) {
-	r := d.reign
+	r := d.leadership
 	for _, e := range b.End {
 		d.vacate(e.Task)
 		j := d.state.Jobs[e.Task.Job]
@@ -45,14 +45,14 @@
 
 // vacate gives back the room of a task that has ended.
 func (d *Domain) vacate(ref work.TaskRef) {
-	r := d.reign
-	spot, ok := r.where[ref]
+	r := d.leadership
+	allocation, ok := r.allocations[ref]
 	if !ok {
 		return
 	}
-	delete(r.where, ref)
-	r.engine.Release(spot.worker, spot.tenant, ref, spot.size)
-	if l := r.links[spot.worker]; l != nil {
+	delete(r.allocations, ref)
+	r.engine.Release(allocation.worker, allocation.tenant, ref, allocation.size)
+	if l := r.links[allocation.worker]; l != nil {
 		delete(l.starts, ref)
 	}
 }
@@ -60,7 +60,7 @@
 // commitAssigns starts the tasks whose assignment counts, and gives back the
 // room of those that a cancellation overtook.
 func (d *Domain) commitAssigns(b *work.Batch, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	byWorker := map[string][]work.TaskRef{}
 	for _, a := range b.Assign {
 		j := d.state.Jobs[a.Task.Job]
@@ -87,7 +87,7 @@
 // start sends starts of tasks that stand assigned to the worker. A start whose
 // answer is lost is sent again to the same worker, with the same attempt.
 func (d *Domain) start(l *link, refs []work.TaskRef, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	tasks := make([]StartTask, 0, len(refs))
 	for _, ref := range refs {
 		j := d.state.Jobs[ref.Job]
@@ -102,7 +102,7 @@
 	r.wg.Go(func() { d.sendStarts(r, l, tasks) })
 }
 
-func (d *Domain) sendStarts(r *reign, l *link, tasks []StartTask) {
+func (d *Domain) sendStarts(r *leadership, l *link, tasks []StartTask) {
 	d.mu.Lock()
 	now := d.cfg.Now()
 	may := d.mayAct(r, now)
@@ -141,7 +141,7 @@
 
 // stopJob asks the workers to stop the tasks of a job that should not run.
 func (d *Domain) stopJob(id string) {
-	r := d.reign
+	r := d.leadership
 	j := d.state.Jobs[id]
 	if r == nil || j == nil || j.Assigned == 0 {
 		return
@@ -160,7 +160,7 @@
 
 // stop needs no right: ending work that is not wanted can't double it.
 func (d *Domain) stop(l *link, attempts []Attempt) {
-	r := d.reign
+	r := d.leadership
 	addr := l.addr
 	r.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, startTimeout)
--- a/internal/coordination/leader/decide.go
+++ b/internal/coordination/leader/decide.go
@@ -17,7 +17,7 @@
 	maxEnds        = 5000
 	resendAfter    = 500 * time.Millisecond
 	reconcileEvery = 500 * time.Millisecond
-	unfitEvery     = 2 * time.Second
+	deferredEvery  = 2 * time.Second
 	ownersEvery    = 200 * time.Millisecond
 )
 
@@ -30,7 +30,7 @@
 // lead is one step of the leader: it reviews what it knows and, when no batch
 // is under way, decides the next one.
 func (d *Domain) lead(now time.Time) {
-	r := d.reign
+	r := d.leadership
 	d.reviewLinks(now)
 	if r.pending != nil {
 		d.resend(now)
@@ -52,15 +52,15 @@
 		d.cfg.Logger.Error().Err(err).Msg("leader: a batch can't be encoded")
 		return
 	}
-	d.reign.pending = &sent{batch: b, content: content, first: now, last: now}
-	d.reign.lastSent = now
+	d.leadership.pending = &sent{batch: b, content: content, first: now, last: now}
+	d.leadership.lastSent = now
 	d.sendContent(content)
 }
 
 // resend appends the same batch again when it is not read back; the fold counts
 // it once.
 func (d *Domain) resend(now time.Time) {
-	p := d.reign.pending
+	p := d.leadership.pending
 	if now.Sub(p.last) < resendAfter {
 		return
 	}
@@ -74,12 +74,12 @@
 }
 
 func (d *Domain) decide(now time.Time) *work.Batch {
-	r := d.reign
+	r := d.leadership
 	b := &work.Batch{
 		Term: r.term, Seq: d.state.LastSeq + 1, Member: d.cfg.Member, At: now.UnixMilli(), Config: d.state.Config,
 	}
 	d.takeEnds(b)
-	d.judgeDoubts(now)
+	d.judgeUnplaceable(now)
 	d.takeNotes(b, now)
 	if now.Sub(r.slow.model) >= reconcileEvery {
 		r.slow.model = now
@@ -96,7 +96,7 @@
 }
 
 func (d *Domain) takeEnds(b *work.Batch) {
-	r := d.reign
+	r := d.leadership
 	for ref, e := range r.ends {
 		if len(b.End) >= maxEnds {
 			return
@@ -107,21 +107,21 @@
 }
 
 func (d *Domain) takeNotes(b *work.Batch, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	b.Refuse = r.refuse
 	r.refuse = nil
-	for id, reason := range r.explain {
+	for id, reason := range r.reasons {
 		if j := d.state.Jobs[id]; j != nil && j.Reason != reason {
 			b.Explain = append(b.Explain, work.Refuse{Job: id, Reason: reason})
 		}
 	}
-	clear(r.explain)
-	if now.Sub(r.unfitAt) < unfitEvery {
+	clear(r.reasons)
+	if now.Sub(r.deferredAt) < deferredEvery {
 		return
 	}
-	r.unfitAt = now
-	again := r.unfit
-	r.unfit = nil
+	r.deferredAt = now
+	again := r.deferred
+	r.deferred = nil
 	for _, it := range again {
 		if d.wanted(it) {
 			d.admit(it, now)
@@ -131,7 +131,7 @@
 
 // place lets the engine decide and puts its decisions into the batch.
 func (d *Domain) place(b *work.Batch, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	if !r.right.Holds(now, d.cfg.Terms) {
 		return
 	}
@@ -151,7 +151,7 @@
 	j := d.state.Jobs[p.Item.Ref.Job]
 	for i, worker := range p.Workers {
 		ref := work.TaskRef{Job: p.Item.Ref.Job, Index: p.Item.Ref.Index + i}
-		d.reign.where[ref] = spot{worker, p.Item.Tenant, p.Item.Size}
+		d.leadership.allocations[ref] = allocation{worker, p.Item.Tenant, p.Item.Size}
 		b.Assign = append(b.Assign, work.Assign{Task: ref, Attempt: j.Tasks[ref.Index].Attempt + 1, Worker: worker})
 	}
 }
@@ -160,25 +160,25 @@
 // everywhere would tell nothing.
 func (d *Domain) probe(b *work.Batch, l *link, now time.Time) {
 	good := func(it place.Item) bool {
-		_, blamed := d.reign.blame.JobBlamed(it.Ref.Job)
+		_, blamed := d.leadership.blame.JobBlamed(it.Ref.Job)
 		return !blamed
 	}
-	for _, p := range d.reign.engine.Probe(l.name, now, good) {
-		d.reign.blame.Probing(l.name, p.Item.Ref)
+	for _, p := range d.leadership.engine.Probe(l.name, now, good) {
+		d.leadership.blame.Probing(l.name, p.Item.Ref)
 		d.assign(b, p)
 	}
 }
 
 // openWorkers says which workers may be given new work now.
 func (d *Domain) openWorkers(now time.Time) {
-	for _, l := range d.reign.links {
-		d.reign.engine.SetOpen(l.name, l.known && l.live && !d.reign.blame.WorkerBlamed(l.name))
+	for _, l := range d.leadership.links {
+		d.leadership.engine.SetOpen(l.name, l.known && l.live && !d.leadership.blame.WorkerBlamed(l.name))
 	}
 }
 
 // syncNodes takes over the platform's list of workers.
 func (d *Domain) syncNodes(now time.Time) {
-	r := d.reign
+	r := d.leadership
 	listed := map[string]bool{}
 	for _, n := range d.cfg.Nodes(member.KindWorker) {
 		listed[n.Name] = true
@@ -230,7 +230,7 @@
 		}
 	}
 	for name, t := range m.Tenants {
-		d.reign.engine.SetTenant(name, place.Tenant{Share: t.Share, Quota: t.Quota})
+		d.leadership.engine.SetTenant(name, place.Tenant{Share: t.Share, Quota: t.Quota})
 	}
 	d.compare(b, described)
 }
--- a/internal/coordination/leader/domain.go
+++ b/internal/coordination/leader/domain.go
@@ -56,24 +56,23 @@
 
 // Domain is one instance's part in its failure domain.
 type Domain struct {
-	cfg      Config
-	follower *stream.Follower
-	appender *stream.Appender
-	done     chan struct{}
-	wake     chan struct{}
+	cfg    Config
+	stream *stream.Stream
+	done   chan struct{}
+	wake   chan struct{}
 
-	mu       sync.Mutex
-	state    *work.State
-	reign    *reign    // nil unless this instance leads
-	heard    time.Time // when the leader's last record was received
-	joined   time.Time // when this member's own join was read
-	joining  time.Time // when a join was sent last
-	promised time.Time // no claim before this time
-	claim    claim
-	keep     time.Time // until when the leader promised not to move this member's minions
-	leaving  bool
-	wg       conc.WaitGroup
-	ctx      context.Context
+	mu               sync.Mutex
+	state            *work.State
+	leadership       *leadership // nil unless this instance leads
+	heard            time.Time   // when the leader's last record was received
+	joined           time.Time   // when this member's own join was read
+	joining          time.Time   // when a join was sent last
+	promised         time.Time   // no claim before this time
+	claim            claim
+	minionsKeptUntil time.Time // until when the leader promised not to move this member's minions
+	leaving          bool
+	wg               conc.WaitGroup
+	ctx              context.Context
 }
 
 // New gives a domain that has read nothing.
@@ -81,11 +80,10 @@
 	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	fold := stream.Fold{Apply: d.apply, Snapshot: d.Snapshot, Load: d.load, Offset: d.offset, Fetch: cfg.Fetch}
 	name := StreamOf(cfg.Domain)
-	d.follower = stream.NewFollower(stream.FollowConfig{
+	d.stream = stream.New(stream.FollowConfig{
 		Stream: name, Wait: readWait, Retry: readRetry, SnapshotCount: snapshotEach,
 		SnapshotAge: cfg.SnapshotAge, Now: cfg.Now, Logger: cfg.Logger,
-	}, cfg.Log, fold)
-	d.appender = stream.NewAppender(cfg.Log, name, submitPause)
+	}, submitPause, cfg.Log, fold)
 	return d
 }
 
@@ -99,12 +97,11 @@
 	d.ctx = ctx
 	d.mu.Unlock()
 	var wg conc.WaitGroup
-	wg.Go(func() { d.appender.Run(ctx) })
-	wg.Go(func() { d.follower.Run(ctx) })
+	wg.Go(func() { d.stream.Run(ctx) })
 	wg.Go(func() { d.loop(ctx) })
 	wg.Wait()
 	d.mu.Lock()
-	d.endReign("the instance stops")
+	d.endTerm("the instance stops")
 	d.mu.Unlock()
 	d.wg.Wait()
 }
@@ -126,7 +123,7 @@
 func (d *Domain) tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.reign != nil {
+	if d.leadership != nil {
 		d.lead(now)
 		return
 	}
@@ -175,11 +172,11 @@
 }
 
 func (d *Domain) afterApply(now time.Time) {
-	if d.reign != nil && (d.state.Leader != d.cfg.Member || d.state.Term != d.reign.term) {
-		d.endReign("another instance leads")
+	if d.leadership != nil && (d.state.Leader != d.cfg.Member || d.state.Term != d.leadership.term) {
+		d.endTerm("another instance leads")
 	}
 	fresh := d.state.TakeFresh()
-	if d.reign == nil {
+	if d.leadership == nil {
 		return
 	}
 	for _, ref := range fresh {
@@ -201,7 +198,7 @@
 	if _, ok := d.state.Members[d.cfg.Member]; ok {
 		d.joined = now
 	}
-	d.endReign("the state was loaded anew")
+	d.endTerm("the state was loaded anew")
 	return nil
 }
 
@@ -219,7 +216,7 @@
 }
 
 // logDown reports whether the log has not been read to its end for a while.
-func (d *Domain) logDown(now time.Time) bool { return now.Sub(d.follower.Tail()) > downAfter }
+func (d *Domain) logDown(now time.Time) bool { return now.Sub(d.stream.Tail()) > downAfter }
 
 // Status is the domain as this instance sees it.
 type Status struct {
@@ -252,12 +249,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := Status{
-		Domain: d.cfg.Domain, Leader: d.state.LeaderName, Term: d.state.Term, Leading: d.reign != nil,
-		TailAgeMS: now.Sub(d.follower.Tail()).Milliseconds(), Offset: d.state.Offset,
+		Domain: d.cfg.Domain, Leader: d.state.LeaderName, Term: d.state.Term, Leading: d.leadership != nil,
+		TailAgeMS: now.Sub(d.stream.Tail()).Milliseconds(), Offset: d.state.Offset,
 		Jobs: map[string]int{}, MinionsOf: map[string]int{}, ConfigSeen: d.state.Config,
 	}
-	if d.reign != nil {
-		s.RightMS = max(d.reign.right.End(d.cfg.Terms).Sub(now).Milliseconds(), 0)
+	if d.leadership != nil {
+		s.RightMS = max(d.leadership.right.End(d.cfg.Terms).Sub(now).Milliseconds(), 0)
 	}
 	for _, j := range d.state.Jobs {
 		s.Jobs[j.State()]++
@@ -277,8 +274,8 @@
 	var out []WorkerStatus
 	for _, n := range d.cfg.Nodes(member.KindWorker) {
 		w := WorkerStatus{Name: n.Name, State: n.State, Cap: n.Cap, Used: d.state.Used[n.Name], Tasks: len(d.state.Placed[n.Name])}
-		if d.reign != nil {
-			w.State = d.reign.describe(n)
+		if d.leadership != nil {
+			w.State = d.leadership.describe(n)
 		}
 		out = append(out, w)
 	}
@@ -318,4 +315,4 @@
 }
 
 // Ready reports whether the domain's state is known.
-func (d *Domain) Ready() bool { return d.follower.Ready() }
+func (d *Domain) Ready() bool { return d.stream.Ready() }
--- a/internal/coordination/leader/reign.go
+++ b/internal/coordination/leader/leadership.go
@@ -19,34 +19,34 @@
 	serviceLease = 24 * time.Hour // a second copy does little harm, so outages don't end services
 )
 
-// reign is what only a leader knows, for one term. It is discarded with it.
-type reign struct {
-	term     uint64
-	since    time.Time
-	right    lease.Right
-	promises map[string]time.Time // by member: no claim before
-	keeps    map[string]time.Time // by member: its minions are not moved before
-	engine   *place.Engine
-	blame    *place.Blame
-	links    map[string]*link
-	where    map[work.TaskRef]spot // what the engine counts as standing on workers
-	pending  *sent                 // the batch that is not confirmed yet
-	lastSent time.Time
-	ends     map[work.TaskRef]work.End // to be recorded
-	refuse   []work.Refuse
-	explain  map[string]string // reasons to be recorded, by job
-	doubt    []place.Item      // fitted on no worker known when they came
-	unfit    []place.Item      // can't run now; looked at again at times
-	unfitAt  time.Time
-	vacant   map[string]time.Time // by minion without owner: may be granted from then on
-	slow     reconcile
-	cancel   context.CancelFunc
-	ctx      context.Context
-	wg       *conc.WaitGroup
+// leadership is what only a leader knows, for one term. It is discarded with it.
+type leadership struct {
+	term        uint64
+	since       time.Time
+	right       lease.Right
+	promises    map[string]time.Time // by member: no claim before
+	keptUntil   map[string]time.Time // by member: its minions are not moved before
+	engine      *place.Engine
+	blame       *place.Blame
+	links       map[string]*link
+	allocations map[work.TaskRef]allocation // what the engine counts as standing on workers
+	pending     *sent                       // the batch that is not confirmed yet
+	lastSent    time.Time
+	ends        map[work.TaskRef]work.End // to be recorded
+	refuse      []work.Refuse
+	reasons     map[string]string // reasons to be recorded, by job
+	unplaceable []place.Item      // fitted on no worker known when they came
+	deferred    []place.Item      // can't run now; looked at again at times
+	deferredAt  time.Time
+	vacant      map[string]time.Time // by minion without owner: may be granted from then on
+	slow        reconcile
+	cancel      context.CancelFunc
+	ctx         context.Context
+	wg          *conc.WaitGroup
 }
 
-// spot is where a task stands.
-type spot struct {
+// allocation is where a task stands.
+type allocation struct {
 	worker string
 	tenant string
 	size   work.Size
@@ -60,25 +60,25 @@
 	last    time.Time
 }
 
-// startReign takes office. The claim was sent at the time claimSent.
-func (d *Domain) startReign(claimSent, now time.Time) {
+// beginTerm takes office. The claim was sent at the time claimSent.
+func (d *Domain) beginTerm(claimSent, now time.Time) {
 	ctx, cancel := context.WithCancel(d.ctx)
-	r := &reign{
-		term: d.state.Term, since: now, promises: map[string]time.Time{}, keeps: map[string]time.Time{},
+	r := &leadership{
+		term: d.state.Term, since: now, promises: map[string]time.Time{}, keptUntil: map[string]time.Time{},
 		engine: place.NewEngine(place.Config{
 			Fit: place.FitKeep, Order: place.OrderFair, PatientAge: patientAge, ReserveAfter: reserveAfter,
 		}),
-		blame: place.NewBlame(), links: map[string]*link{}, where: map[work.TaskRef]spot{}, ends: map[work.TaskRef]work.End{},
-		explain: map[string]string{}, vacant: map[string]time.Time{}, cancel: cancel, ctx: ctx, wg: conc.NewWaitGroup(),
+		blame: place.NewBlame(), links: map[string]*link{}, allocations: map[work.TaskRef]allocation{}, ends: map[work.TaskRef]work.End{},
+		reasons: map[string]string{}, vacant: map[string]time.Time{}, cancel: cancel, ctx: ctx, wg: conc.NewWaitGroup(),
 	}
 	r.right.Confirm(claimSent)
 	r.engine.Wanted = d.wanted
-	d.reign = r
+	d.leadership = r
 	for worker, tasks := range d.state.Placed {
 		for ref, p := range tasks {
 			j := d.state.Jobs[ref.Job]
 			r.engine.Occupy(worker, j.Spec.Tenant, ref, p.Size, time.Time{})
-			r.where[ref] = spot{worker, j.Spec.Tenant, p.Size}
+			r.allocations[ref] = allocation{worker, j.Spec.Tenant, p.Size}
 		}
 	}
 	d.state.TakeFresh()
@@ -94,22 +94,22 @@
 	d.rouse()
 }
 
-// endReign leaves office. Nothing is sent to workers after it.
-func (d *Domain) endReign(why string) {
-	if d.reign == nil {
+// endTerm leaves office. Nothing is sent to workers after it.
+func (d *Domain) endTerm(why string) {
+	if d.leadership == nil {
 		return
 	}
-	d.cfg.Logger.Info().Uint64("term", d.reign.term).Str("why", why).Msg("leader: term ends here")
-	r := d.reign
-	d.reign = nil
+	d.cfg.Logger.Info().Uint64("term", d.leadership.term).Str("why", why).Msg("leader: term ends here")
+	r := d.leadership
+	d.leadership = nil
 	r.cancel()
 	d.wg.Go(r.wg.Wait)
 }
 
-// mayAct reports whether the reign is still in office and its right holds. It
+// mayAct reports whether the leadership is still in office and its right holds. It
 // is asked immediately before each message that depends on the right.
-func (d *Domain) mayAct(r *reign, now time.Time) bool {
-	return d.reign == r && r.right.Holds(now, d.cfg.Terms)
+func (d *Domain) mayAct(r *leadership, now time.Time) bool {
+	return d.leadership == r && r.right.Holds(now, d.cfg.Terms)
 }
 
 // wanted reports whether a queued item still stands.
@@ -145,30 +145,30 @@
 
 // admit queues an item, or sets it aside to be judged.
 func (d *Domain) admit(it place.Item, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	if until, blamed := r.blame.JobBlamed(it.Ref.Job); blamed && now.Before(until) {
-		r.unfit = append(r.unfit, it)
-		r.explain[it.Ref.Job] = "fails on every worker it was tried on; tried again later"
+		r.deferred = append(r.deferred, it)
+		r.reasons[it.Ref.Job] = "fails on every worker it was tried on; tried again later"
 		return
 	}
 	if r.engine.Never(it) != "" {
-		r.doubt = append(r.doubt, it)
+		r.unplaceable = append(r.unplaceable, it)
 		return
 	}
 	r.engine.Push(it)
 }
 
-// judgeDoubts decides about items that fit on no worker known when they came.
+// judgeUnplaceable decides about items that fit on no worker known when they came.
 // The list is taken over again first, since refusing a job is final.
-func (d *Domain) judgeDoubts(now time.Time) {
-	r := d.reign
-	if len(r.doubt) == 0 || len(d.cfg.Nodes(member.KindWorker)) == 0 {
+func (d *Domain) judgeUnplaceable(now time.Time) {
+	r := d.leadership
+	if len(r.unplaceable) == 0 || len(d.cfg.Nodes(member.KindWorker)) == 0 {
 		return
 	}
 	d.syncNodes(now)
-	doubt := r.doubt
-	r.doubt = nil
-	for _, it := range doubt {
+	unplaceable := r.unplaceable
+	r.unplaceable = nil
+	for _, it := range unplaceable {
 		j := d.state.Jobs[it.Ref.Job]
 		reason := r.engine.Never(it)
 		switch {
@@ -176,8 +176,8 @@
 		case reason == "":
 			r.engine.Push(it)
 		case j.Spec.Kind == work.KindService || j.Ran:
-			r.explain[it.Ref.Job] = reason
-			r.unfit = append(r.unfit, it)
+			r.reasons[it.Ref.Job] = reason
+			r.deferred = append(r.deferred, it)
 		default:
 			r.refuse = append(r.refuse, work.Refuse{Job: it.Ref.Job, Reason: reason})
 		}
@@ -185,7 +185,7 @@
 }
 
 // describe gives a worker's state in one word.
-func (r *reign) describe(n member.Node) string {
+func (r *leadership) describe(n member.Node) string {
 	l := r.links[n.Name]
 	switch {
 	case l == nil || !l.known:
--- a/internal/coordination/leader/link.go
+++ b/internal/coordination/leader/link.go
@@ -53,7 +53,7 @@
 }
 
 func (d *Domain) newLink(n member.Node, now time.Time) *link {
-	r := d.reign
+	r := d.leadership
 	ctx, cancel := context.WithCancel(r.ctx)
 	l := &link{name: n.Name, addr: n.Addr, lost: now, renewed: r.since, starts: map[work.TaskRef]*start{}, cancel: cancel}
 	for ref, p := range d.state.Placed[n.Name] {
@@ -65,7 +65,7 @@
 	return l
 }
 
-func (d *Domain) linkLoop(ctx context.Context, r *reign, l *link) {
+func (d *Domain) linkLoop(ctx context.Context, r *leadership, l *link) {
 	for ctx.Err() == nil {
 		q, addr, sent := d.query(r, l)
 		if addr == "" {
@@ -76,7 +76,7 @@
 		reply, err := d.cfg.Workers.Sync(c, addr, q)
 		cancel()
 		d.mu.Lock()
-		if d.reign == r {
+		if d.leadership == r {
 			d.synced(l, reply, err, sent)
 		}
 		d.mu.Unlock()
@@ -97,7 +97,7 @@
 
 // query builds the next message to a worker. Leases are renewed only under the
 // right, and not on a worker that is silent, so that they lapse.
-func (d *Domain) query(r *reign, l *link) (SyncQuery, string, time.Time) {
+func (d *Domain) query(r *leadership, l *link) (SyncQuery, string, time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
@@ -166,7 +166,7 @@
 }
 
 func (d *Domain) noteEnd(l *link, e EndedTask, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	if _, noted := r.ends[e.Task]; noted || d.inPending(e.Attempt) {
 		return
 	}
@@ -191,7 +191,7 @@
 
 // inPending reports whether the batch under way ends the attempt already.
 func (d *Domain) inPending(a Attempt) bool {
-	p := d.reign.pending
+	p := d.leadership.pending
 	if p == nil {
 		return false
 	}
@@ -229,9 +229,9 @@
 	}
 	missing, stop := d.missing(l, running, sent, restarted)
 	unwanted = append(unwanted, stop...)
-	w := d.reign.engine.Worker(l.name)
+	w := d.leadership.engine.Worker(l.name)
 	declared := w.Used.Add(extra)
-	d.reign.engine.Report(l.name, extra, reply.Usage, declared.Max(l.declared))
+	d.leadership.engine.Report(l.name, extra, reply.Usage, declared.Max(l.declared))
 	l.declared = declared
 	if len(missing) > 0 {
 		d.start(l, missing, d.cfg.Now())
@@ -265,7 +265,7 @@
 
 // lose notes that an attempt certainly no longer runs.
 func (d *Domain) lose(ref work.TaskRef, attempt int) {
-	r := d.reign
+	r := d.leadership
 	if _, noted := r.ends[ref]; noted || d.inPending(Attempt{ref, attempt}) {
 		return
 	}
@@ -275,7 +275,7 @@
 // reviewLinks gives up what silent workers were given, once it is certain that
 // it has ended, or at once where a second copy does no harm.
 func (d *Domain) reviewLinks(now time.Time) {
-	for _, l := range d.reign.links {
+	for _, l := range d.leadership.links {
 		if l.known {
 			continue
 		}
--- a/internal/coordination/leader/owners.go
+++ b/internal/coordination/leader/owners.go
@@ -29,7 +29,7 @@
 			b.Remove = append(b.Remove, id)
 		case !m.Acked && !m.Dead:
 			b.Ack = append(b.Ack, id)
-		case !listed[m.Instance] && now.Sub(heard[id]) > removeAfter && now.Sub(d.reign.since) > removeAfter && !d.state.Owns(id):
+		case !listed[m.Instance] && now.Sub(heard[id]) > removeAfter && now.Sub(d.leadership.since) > removeAfter && !d.state.Owns(id):
 			b.Remove = append(b.Remove, id)
 		}
 	}
@@ -51,7 +51,7 @@
 // taken from a silent member by a record first and given to another only when
 // the former owner's right has certainly ended.
 func (d *Domain) decideOwners(b *work.Batch, now time.Time) {
-	if now.Sub(d.reign.since) < hearFirst {
+	if now.Sub(d.leadership.since) < hearFirst {
 		return
 	}
 	able := d.ableOwners(now)
@@ -70,7 +70,7 @@
 		}
 	}
 	for _, minion := range free {
-		if at, waits := d.reign.vacant[minion]; waits && now.Before(at) {
+		if at, waits := d.leadership.vacant[minion]; waits && now.Before(at) {
 			continue
 		}
 		to := fewest(able, owned)
@@ -96,7 +96,7 @@
 		}
 	}
 	// A new leader has not heard everybody yet and takes nothing away.
-	if now.Sub(d.reign.since) < 2*member.SuspectAfter {
+	if now.Sub(d.leadership.since) < 2*member.SuspectAfter {
 		for id, m := range d.state.Members {
 			if !m.Dead && d.state.Owns(id) {
 				able[id] = m.Instance
@@ -138,10 +138,10 @@
 }
 
 func (d *Domain) commitOwners(b *work.Batch, now time.Time) {
-	r := d.reign
+	r := d.leadership
 	for _, minion := range b.Revoke {
 		at := now.Add(d.cfg.Terms.Grant + d.cfg.Terms.Margin)
-		for _, until := range r.keeps {
+		for _, until := range r.keptUntil {
 			if k := until.Add(d.cfg.Terms.Margin); k.After(at) {
 				at = k
 			}
@@ -158,12 +158,12 @@
 func (d *Domain) Owned(now time.Time) map[string]time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	until := d.follower.Tail().Add(d.cfg.Terms.Grant)
-	if d.keep.After(until) {
-		until = d.keep
+	until := d.stream.Tail().Add(d.cfg.Terms.Grant)
+	if d.minionsKeptUntil.After(until) {
+		until = d.minionsKeptUntil
 	}
-	if d.reign != nil && d.logDown(now) {
-		if end := d.reign.right.End(d.cfg.Terms); end.After(until) {
+	if d.leadership != nil && d.logDown(now) {
+		if end := d.leadership.right.End(d.cfg.Terms); end.After(until) {
 			until = end
 		}
 	}
--- a/internal/coordination/leader/right_test.go
+++ b/internal/coordination/leader/right_test.go
@@ -32,8 +32,8 @@
 	d.state.Apply(2, work.Record{Submit: &work.Submit{Spec: spec}})
 	ref := work.TaskRef{Job: "j"}
 	d.state.Apply(3, work.Record{Batch: &work.Batch{Term: 1, Seq: 1, Member: "a", Assign: []work.Assign{{Task: ref, Attempt: 1, Worker: "w"}}}})
-	r := &reign{ctx: context.Background(), wg: conc.NewWaitGroup()}
-	d.reign = r
+	r := &leadership{ctx: context.Background(), wg: conc.NewWaitGroup()}
+	d.leadership = r
 	l := &link{name: "w", known: true, starts: map[work.TaskRef]*start{}}
 	try := func() (starts int, renews bool) {
 		started = 0
--- a/internal/coordination/leader/submit.go
+++ b/internal/coordination/leader/submit.go
@@ -100,7 +100,7 @@
 func (d *Domain) Leave(ctx context.Context) error {
 	d.mu.Lock()
 	d.leaving = true
-	d.endReign("planned stop")
+	d.endTerm("planned stop")
 	d.mu.Unlock()
 	r := work.Record{Free: &work.Release{Member: d.cfg.Member}}
 	err := d.appendUntil(ctx, r, func() bool {
@@ -119,9 +119,9 @@
 		return errors.Wrap(err, "encode record")
 	}
 	for {
-		appendErr := d.appender.Append(ctx, content)
+		appendErr := d.stream.Append(ctx, content)
 		c, cancel := context.WithTimeout(ctx, readBackWait)
-		err := d.follower.WaitFor(c, ok)
+		err := d.stream.WaitFor(c, ok)
 		cancel()
 		if err == nil {
 			return nil
--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -126,10 +126,9 @@
 
 // Registry claims keys.
 type Registry struct {
-	cfg      Config
-	follower *stream.Follower
-	appender *stream.Appender
-	done     chan struct{}
+	cfg    Config
+	stream *stream.Stream
+	done   chan struct{}
 
 	mu    sync.Mutex
 	state *State
@@ -139,11 +138,10 @@
 func New(cfg Config) *Registry {
 	r := &Registry{cfg: cfg, state: NewState(), done: make(chan struct{})}
 	fold := stream.Fold{Apply: r.apply, Snapshot: r.snapshot, Load: r.load, Offset: r.offset}
-	r.follower = stream.NewFollower(stream.FollowConfig{
+	r.stream = stream.New(stream.FollowConfig{
 		Stream: Stream, Wait: readWait, Retry: readRetry, SnapshotCount: snapshotEach,
 		SnapshotAge: cfg.SnapshotAge, Now: cfg.Now, Logger: cfg.Logger,
-	}, cfg.Log, fold)
-	r.appender = stream.NewAppender(cfg.Log, Stream, groupPause)
+	}, groupPause, cfg.Log, fold)
 	return r
 }
 
@@ -153,9 +151,7 @@
 // Run follows the stream until ctx ends.
 func (r *Registry) Run(ctx context.Context) {
 	defer close(r.done)
-	go r.appender.Run(ctx)
-	r.follower.Run(ctx)
-	<-r.appender.Done()
+	r.stream.Run(ctx)
 }
 
 // Claim claims the key for the attempt. It reports who holds the key, which is
@@ -169,7 +165,7 @@
 		return Holder{}, errs.At("claim idempotency key", "log", err)
 	}
 	var h Holder
-	err := r.follower.WaitFor(ctx, func() bool {
+	err := r.stream.WaitFor(ctx, func() bool {
 		var ok bool
 		h, ok = r.holder(key)
 		return ok && (h.By == by || h.State != StateNotRun)
@@ -194,7 +190,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode claim")
 	}
-	return r.appender.Append(ctx, content)
+	return r.stream.Append(ctx, content)
 }
 
 func (r *Registry) holder(key string) (Holder, bool) {
--- a/internal/protocol/worker/worker.go
+++ b/internal/protocol/worker/worker.go
@@ -47,25 +47,15 @@
 	return leader.Workers{Start: c.Start, Stop: c.Stop, Sync: c.Sync}
 }
 
-type startedTask struct {
-	Job     string    `json:"job"`
-	Index   int       `json:"index"`
-	Attempt int       `json:"attempt"`
-	Size    work.Size `json:"size"`
-	LeaseMS int64     `json:"lease-ms"`
-	Command string    `json:"command"`
-	RunMS   int64     `json:"run-ms"`
-}
-
 type startRequest struct {
-	Tasks []startedTask `json:"tasks"`
+	Tasks []StartedTask `json:"tasks"`
 }
 
 // Start starts tasks on the worker.
 func (c *Client) Start(ctx context.Context, addr string, tasks []leader.StartTask) error {
 	var q startRequest
 	for _, t := range tasks {
-		q.Tasks = append(q.Tasks, startedTask{
+		q.Tasks = append(q.Tasks, StartedTask{
 			Job: t.Task.Job, Index: t.Task.Index, Attempt: t.Attempt.Attempt, Size: t.Size,
 			LeaseMS: t.Lease.Milliseconds(), Command: t.Command, RunMS: t.Run.Milliseconds(),
 		})
@@ -73,56 +63,23 @@
 	return errs.At("start tasks", addr, c.call(ctx, addr, "/start", q, nil))
 }
 
-type attempt struct {
-	Job     string `json:"job"`
-	Index   int    `json:"index"`
-	Attempt int    `json:"attempt"`
-}
-
 type stopRequest struct {
-	Tasks []attempt `json:"tasks"`
+	Tasks []Attempt `json:"tasks"`
 }
 
 // Stop ends attempts on the worker.
 func (c *Client) Stop(ctx context.Context, addr string, attempts []leader.Attempt) error {
 	var q stopRequest
 	for _, a := range attempts {
-		q.Tasks = append(q.Tasks, attempt{a.Task.Job, a.Task.Index, a.Attempt})
+		q.Tasks = append(q.Tasks, Attempt{a.Task.Job, a.Task.Index, a.Attempt})
 	}
 	return errs.At("stop tasks", addr, c.call(ctx, addr, "/stop", q, nil))
 }
 
-type syncRequest struct {
-	Ack    uint64 `json:"ack"`
-	Seen   uint64 `json:"seen"`
-	Renew  bool   `json:"renew"`
-	WaitMS int64  `json:"wait-ms"`
-}
-
-type runningTask struct {
-	attempt
-	Size work.Size `json:"size"`
-}
-
-type endedTask struct {
-	attempt
-	Number  uint64 `json:"number"`
-	Outcome string `json:"outcome"`
-}
-
-type syncReply struct {
-	Same    bool          `json:"same"`
-	Boot    string        `json:"boot"`
-	Version uint64        `json:"version"`
-	Running []runningTask `json:"running"`
-	Ended   []endedTask   `json:"ended"`
-	Usage   work.Size     `json:"usage"`
-}
-
 // Sync renews leases and gives what the worker runs.
 func (c *Client) Sync(ctx context.Context, addr string, q leader.SyncQuery) (leader.SyncReply, error) {
-	w := syncRequest{Ack: q.Ack, Seen: q.Seen, Renew: q.Renew, WaitMS: q.Wait.Milliseconds()}
-	var reply syncReply
+	w := SyncRequest{Ack: q.Ack, Seen: q.Seen, Renew: q.Renew, WaitMS: q.Wait.Milliseconds()}
+	var reply SyncReply
 	if err := c.call(ctx, addr, "/sync", w, &reply); err != nil {
 		return leader.SyncReply{}, errs.At("sync with worker", addr, err)
 	}
@@ -136,7 +93,7 @@
 	return out, nil
 }
 
-func (a attempt) named() leader.Attempt {
+func (a Attempt) named() leader.Attempt {
 	return leader.Attempt{Task: work.TaskRef{Job: a.Job, Index: a.Index}, Attempt: a.Attempt}
 }
 
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -11,6 +11,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/tamaracklink/tamaracklink/internal/protocol/worker"
 	"github.com/tamaracklink/tamaracklink/internal/standin/httpd"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
@@ -170,19 +171,9 @@
 	}
 }
 
-type startedTask struct {
-	Job     string    `json:"job"`
-	Index   int       `json:"index"`
-	Attempt int       `json:"attempt"`
-	Size    work.Size `json:"size"`
-	LeaseMS int64     `json:"lease-ms"`
-	Command string    `json:"command"`
-	RunMS   int64     `json:"run-ms"`
-}
-
 func (w *Worker) postStart(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var q struct {
-		Tasks []startedTask `json:"tasks"`
+		Tasks []worker.StartedTask `json:"tasks"`
 	}
 	if !httpd.Read(rw, r, &q) {
 		return
@@ -197,7 +188,7 @@
 	w.tell(events)
 }
 
-func (w *Worker) start(events []Event, t startedTask, now time.Time) []Event {
+func (w *Worker) start(events []Event, t worker.StartedTask, now time.Time) []Event {
 	k := key{t.Job, t.Index, t.Attempt}
 	if w.tasks[k] != nil || w.ended[k] != nil {
 		return events
@@ -220,15 +211,9 @@
 	return append(events, Event{Worker: w.cfg.Name, Job: k.job, Index: k.index, Attempt: k.attempt, Size: t.Size, Started: true})
 }
 
-type attempt struct {
-	Job     string `json:"job"`
-	Index   int    `json:"index"`
-	Attempt int    `json:"attempt"`
-}
-
 func (w *Worker) postStop(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var q struct {
-		Tasks []attempt `json:"tasks"`
+		Tasks []worker.Attempt `json:"tasks"`
 	}
 	if !httpd.Read(rw, r, &q) {
 		return
@@ -250,8 +235,8 @@
 // postThrottle slows tasks down to a part of their speed, in percent.
 func (w *Worker) postThrottle(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var q struct {
-		Tasks   []attempt `json:"tasks"`
-		Percent int       `json:"percent"`
+		Tasks   []worker.Attempt `json:"tasks"`
+		Percent int              `json:"percent"`
 	}
 	if !httpd.Read(rw, r, &q) {
 		return
@@ -273,7 +258,7 @@
 // postCheckpoint saves tasks' progress; a later attempt here goes on from it.
 func (w *Worker) postCheckpoint(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	var q struct {
-		Tasks []attempt `json:"tasks"`
+		Tasks []worker.Attempt `json:"tasks"`
 	}
 	if !httpd.Read(rw, r, &q) {
 		return
@@ -332,35 +317,8 @@
 	w.changed = make(chan struct{})
 }
 
-type syncRequest struct {
-	Ack    uint64 `json:"ack"`
-	Seen   uint64 `json:"seen"`
-	Renew  bool   `json:"renew"`
-	WaitMS int64  `json:"wait-ms"`
-}
-
-type runningTask struct {
-	attempt
-	Size work.Size `json:"size"`
-}
-
-type endedTask struct {
-	attempt
-	Number  uint64 `json:"number"`
-	Outcome string `json:"outcome"`
-}
-
-type syncReply struct {
-	Same    bool          `json:"same"`
-	Boot    string        `json:"boot"`
-	Version uint64        `json:"version"`
-	Running []runningTask `json:"running"`
-	Ended   []endedTask   `json:"ended"`
-	Usage   work.Size     `json:"usage"`
-}
-
 func (w *Worker) postSync(rw http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	var q syncRequest
+	var q worker.SyncRequest
 	if !httpd.Read(rw, r, &q) {
 		return
 	}
@@ -372,7 +330,7 @@
 	httpd.Reply(rw, w.report(q.Seen))
 }
 
-func (w *Worker) renew(q syncRequest) {
+func (w *Worker) renew(q worker.SyncRequest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -387,7 +345,7 @@
 }
 
 // await waits until the inventory differs from what the leader has seen.
-func (w *Worker) await(r *http.Request, q syncRequest) {
+func (w *Worker) await(r *http.Request, q worker.SyncRequest) {
 	t := time.NewTimer(time.Duration(q.WaitMS) * time.Millisecond)
 	defer t.Stop()
 	for {
@@ -408,7 +366,7 @@
 	}
 }
 
-func (w *Worker) report(seen uint64) syncReply {
+func (w *Worker) report(seen uint64) worker.SyncReply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
@@ -416,16 +374,16 @@
 		w.usageAt = now
 		w.usage = w.used
 	}
-	out := syncReply{Boot: fmt.Sprintf("%s.%d", w.cfg.Name, w.boot), Version: w.version, Usage: w.usage}
+	out := worker.SyncReply{Boot: fmt.Sprintf("%s.%d", w.cfg.Name, w.boot), Version: w.version, Usage: w.usage}
 	if seen == w.version {
-		return syncReply{Same: true, Boot: out.Boot, Version: out.Version, Usage: out.Usage}
+		return worker.SyncReply{Same: true, Boot: out.Boot, Version: out.Version, Usage: out.Usage}
 	}
 	for k, t := range w.tasks {
-		out.Running = append(out.Running, runningTask{attempt{k.job, k.index, k.attempt}, t.size})
+		out.Running = append(out.Running, worker.RunningTask{Attempt: worker.Attempt{Job: k.job, Index: k.index, Attempt: k.attempt}, Size: t.size})
 	}
 	for _, k := range w.order {
 		if e := w.ended[k]; !e.acked {
-			out.Ended = append(out.Ended, endedTask{attempt{k.job, k.index, k.attempt}, e.number, e.outcome})
+			out.Ended = append(out.Ended, worker.EndedTask{Attempt: worker.Attempt{Job: k.job, Index: k.index, Attempt: k.attempt}, Number: e.number, Outcome: e.outcome})
 		}
 	}
 	return out
--- a/internal/state/route/pool.go
+++ b/internal/state/route/pool.go
@@ -25,8 +25,8 @@
 	Addr    string
 	Slots   int
 	Busy    int       // requests of this instance
-	Ghosts  int       // requests that may still run there and that nobody here waits for
-	Unasked bool      // its ghosts are not known yet; gets nothing new
+	Orphans int       // requests that may still run there and that nobody here waits for
+	Unasked bool      // its orphans are not known yet; gets nothing new
 	Leaving bool      // gets nothing new
 	Until   time.Time // suspected until then; gets nothing new
 	Owned   time.Time // the right to dispatch ends then
@@ -91,7 +91,7 @@
 // usable reports whether the minion may be given a request now. With desperate
 // a suspicion does not count.
 func (m *Minion) usable(now time.Time, desperate bool) bool {
-	return !m.Unasked && m.Busy+m.Ghosts < m.Slots && m.serves(now, desperate)
+	return !m.Unasked && m.Busy+m.Orphans < m.Slots && m.serves(now, desperate)
 }
 
 // serves reports whether the minion may be given requests once it has a slot.
@@ -116,7 +116,7 @@
 	desperate := p.desperate(now)
 	for _, m := range p.minions {
 		if m.usable(now, desperate) {
-			n += m.Slots - m.Busy - m.Ghosts
+			n += m.Slots - m.Busy - m.Orphans
 		}
 	}
 	return n
--- a/internal/testing/world/world.go
+++ b/internal/testing/world/world.go
@@ -212,10 +212,10 @@
 	} `json:"work"`
 	Requests struct {
 		Minions []struct {
-			Name   string `json:"name"`
-			Busy   int    `json:"busy"`
-			Ghosts int    `json:"unconfirmed"`
-			State  string `json:"state"`
+			Name    string `json:"name"`
+			Busy    int    `json:"busy"`
+			Orphans int    `json:"unconfirmed"`
+			State   string `json:"state"`
 		} `json:"minions"`
 	} `json:"requests"`
 }
--- a/internal/transport/server/opers.go
+++ b/internal/transport/server/opers.go
@@ -154,48 +154,6 @@
 	return 0
 }
 
-type peerStatus struct {
-	Instance  string `json:"instance"`
-	Domain    string `json:"domain"`
-	Addr      string `json:"addr"`
-	AgeMS     int64  `json:"heard-ms-ago"`
-	Version   uint64 `json:"config-version"`
-	TailAgeMS int64  `json:"log-read-age-ms"`
-	Leader    string `json:"leader"`
-	Term      uint64 `json:"term"`
-	Free      int    `json:"free-slots"`
-	Slots     int    `json:"slots"`
-	Waiting   int    `json:"waiting-requests"`
-	Leaving   bool   `json:"leaving"`
-}
-
-type statusReply struct {
-	Instance    string        `json:"instance"`
-	Member      string        `json:"member"`
-	Domain      string        `json:"domain"`
-	Version     uint64        `json:"config-version"`
-	ConfigAgeMS int64         `json:"config-read-age-ms"`
-	Work        leader.Status `json:"work"`
-	Requests    entry.Status  `json:"requests"`
-	Peers       []peerStatus  `json:"peers"`
-}
-
-func (i *Instance) getStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	now := i.now()
-	s := statusReply{
-		Instance: i.set.Instance, Member: i.member, Domain: i.set.Domain, Version: i.conf.Version(),
-		ConfigAgeMS: now.Sub(i.conf.Tail()).Milliseconds(), Work: i.domain.Status(now), Requests: i.router.Status(now),
-	}
-	for _, p := range i.members.Peers() {
-		s.Peers = append(s.Peers, peerStatus{
-			Instance: p.Instance, Domain: p.Domain, Addr: p.Addr, AgeMS: now.Sub(p.Heard).Milliseconds(), Version: p.Version,
-			TailAgeMS: p.TailAge.Milliseconds(), Leader: p.Leader, Term: p.Term, Free: p.Free, Slots: p.Slots,
-			Waiting: p.Waiting, Leaving: p.Leaving,
-		})
-	}
-	writeJSON(w, http.StatusOK, s)
-}
-
 // readBody decodes a JSON body strictly and answers with an error otherwise.
 func readBody(w http.ResponseWriter, r *http.Request, step string, v any) bool {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
--- /dev/null
+++ b/internal/transport/server/status.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/entry"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/leader"
+)
+
+// Status is what one instance knows, with the age of its knowledge.
+type Status struct {
+	Instance    string        `json:"instance"`
+	Member      string        `json:"member"`
+	Domain      string        `json:"domain"`
+	Version     uint64        `json:"config-version"`
+	ConfigAgeMS int64         `json:"config-read-age-ms"`
+	Work        leader.Status `json:"work"`
+	Requests    entry.Status  `json:"requests"`
+	Peers       []PeerStatus  `json:"peers"`
+}
+
+// PeerStatus is what an instance has heard of another.
+type PeerStatus struct {
+	Instance  string `json:"instance"`
+	Domain    string `json:"domain"`
+	Addr      string `json:"addr"`
+	AgeMS     int64  `json:"heard-ms-ago"`
+	Version   uint64 `json:"config-version"`
+	TailAgeMS int64  `json:"log-read-age-ms"`
+	Leader    string `json:"leader"`
+	Term      uint64 `json:"term"`
+	Free      int    `json:"free-slots"`
+	Slots     int    `json:"slots"`
+	Waiting   int    `json:"waiting-requests"`
+	Leaving   bool   `json:"leaving"`
+}
+
+func (i *Instance) getStatus(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	now := i.now()
+	s := Status{
+		Instance: i.set.Instance, Member: i.member, Domain: i.set.Domain, Version: i.conf.Version(),
+		ConfigAgeMS: now.Sub(i.conf.Tail()).Milliseconds(), Work: i.domain.Status(now), Requests: i.router.Status(now),
+	}
+	for _, p := range i.members.Peers() {
+		s.Peers = append(s.Peers, PeerStatus{
+			Instance: p.Instance, Domain: p.Domain, Addr: p.Addr, AgeMS: now.Sub(p.Heard).Milliseconds(), Version: p.Version,
+			TailAgeMS: p.TailAge.Milliseconds(), Leader: p.Leader, Term: p.Term, Free: p.Free, Slots: p.Slots,
+			Waiting: p.Waiting, Leaving: p.Leaving,
+		})
+	}
+	writeJSON(w, http.StatusOK, s)
+}
