state/sched: look at workers when something is due for them

Cause: profiled with BenchmarkPass; each look at time-outs went through all workers and all their runs, 30 % of a pass at 16,000 workers, and a job that ended went through them again to stop its runs. Now workers stand in a queue by the time of their next look, and a job knows its runs; newRun uses taskSize. The virtual-time tests pass unchanged.

--- a/internal/state/sched/ends.go
+++ b/internal/state/sched/ends.go
@@ -58,6 +58,7 @@
 		return
 	}
 	w.holding = false
+	e.touch(w)
 	if a == AnswerFenced {
 		e.out.Fenced = true
 	}
@@ -76,6 +77,7 @@
 		return
 	}
 	w.holding = false
+	e.touch(w)
 	if w.failures > 0 || w.clockAt.IsZero() {
 		e.event("worker-answers", TaskID{}, 0, w.ID, "", now.Sub(w.answered))
 	}
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -61,6 +61,7 @@
 	live        []*job // jobs that are not final or still have runs
 	workers     map[string]*worker
 	order       []*worker // by id
+	due         dueWorkers
 	callers     map[string]*caller
 	callerOrder []*caller // by name
 	dirty       map[*job]bool
@@ -83,7 +84,7 @@
 	seenAt   time.Time
 	seq      int // order of arrival
 	advice   map[int]map[int]*stepAdvice
-	runs     int // runs that are not known to have ended
+	runs     map[TaskID]*run // that are not known to have ended
 	objMs    int64
 	blockTil time.Time // retry pause after refused starts
 }
@@ -115,7 +116,7 @@
 	if _, ok := e.jobs[fj.ID]; ok {
 		return
 	}
-	j := &job{Job: fj, shown: fj.State, seenAt: now, seq: len(e.jobs), advice: map[int]map[int]*stepAdvice{}}
+	j := &job{Job: fj, shown: fj.State, seenAt: now, seq: len(e.jobs), advice: map[int]map[int]*stepAdvice{}, runs: map[TaskID]*run{}}
 	j.objMs = objective(fj.Spec)
 	e.jobs[fj.ID] = j
 	for _, r := range fj.Progress.Rounds {
@@ -127,7 +128,7 @@
 			}
 		}
 	}
-	if !j.State.Final() || j.runs > 0 {
+	if !j.State.Final() || len(j.runs) > 0 {
 		e.live = append(e.live, j)
 	}
 	if fj.Canceled {
@@ -170,20 +171,26 @@
 	j.State, j.EndedMs = st, now.UnixMilli()
 	e.dirty[j] = true
 	e.event("job-ended", TaskID{Job: j.ID}, 0, "", st.String(), now.Sub(j.seenAt))
-	if j.runs > 0 && st != flow.Complete {
-		for _, w := range e.order {
-			for _, r := range w.runs {
-				if r.job == j {
-					e.stop(now, r, st.String())
-				}
-			}
+	if st != flow.Complete {
+		for _, r := range j.listRuns() {
+			e.stop(now, r, st.String())
 		}
 	}
-	if j.runs == 0 {
+	if len(j.runs) == 0 {
 		e.retire(j)
 	}
 }
 
+// listRuns gives the job's runs in the order of their tasks.
+func (j *job) listRuns() []*run {
+	runs := make([]*run, 0, len(j.runs))
+	for _, r := range j.runs {
+		runs = append(runs, r)
+	}
+	sort.Slice(runs, func(i, k int) bool { return runs[i].id.less(runs[k].id) })
+	return runs
+}
+
 // retire forgets the tasks of a final job of which nothing runs.
 func (e *Engine) retire(j *job) {
 	j.Progress.Rounds = nil
@@ -201,7 +208,7 @@
 	e.tickAt = now.Add(tickEvery)
 	kept := e.live[:0]
 	for _, j := range e.live {
-		if j.State.Final() && j.runs == 0 {
+		if j.State.Final() && len(j.runs) == 0 {
 			continue
 		}
 		kept = append(kept, j)
@@ -210,9 +217,7 @@
 		}
 	}
 	e.live = kept
-	for _, w := range e.order {
-		e.tickWorker(now, w)
-	}
+	e.tickWorkers(now)
 	e.probeCallers(now)
 	e.expire(now)
 	return now.Add(tickLatest)
@@ -245,7 +250,7 @@
 	e.expireAt = now.Add(expireEvery)
 	limit := now.Add(-e.p.KeepFor - dropSlack).UnixMilli()
 	for id, j := range e.jobs {
-		if j.State.Final() && j.runs == 0 && j.EndedMs < limit && !e.dirty[j] {
+		if j.State.Final() && len(j.runs) == 0 && j.EndedMs < limit && !e.dirty[j] {
 			e.drops = append(e.drops, id)
 			delete(e.jobs, id)
 		}
@@ -280,6 +285,7 @@
 			w.acked = max(w.acked, a.to)
 		}
 		w.nextHold = now
+		e.touch(w)
 	}
 	for _, r := range b.starts {
 		e.sendRecorded(now, r)
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -88,7 +88,7 @@
 		p.lowest = max(p.lowest, c.prio)
 	}
 	for _, r := range e.live {
-		if r.runs > 0 {
+		if len(r.runs) > 0 {
 			p.lowest = max(p.lowest, e.policy(r).Priority)
 		}
 	}
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -52,14 +52,12 @@
 
 func (e *Engine) newRun(now time.Time, j *job, id TaskID, t *flow.Task, w *worker) *run {
 	st := &j.Steps[id.Step]
-	size := st.Size
-	if st.Filling {
-		size.CPU = 0
-	}
+	size := taskSize(st)
 	r := &run{id: id, job: j, task: t, n: t.Run, w: w, size: size, placedAt: now}
 	w.runs[id] = r
 	w.used = w.used.Add(size)
-	j.runs++
+	j.runs[id] = r
+	e.touch(w)
 	return r
 }
 
@@ -103,6 +101,7 @@
 		return
 	}
 	r.stopping = reason
+	e.touch(r.w)
 	if r.ordered {
 		e.sendStop(now, r)
 	}
@@ -165,6 +164,7 @@
 		return
 	}
 	r.calls--
+	e.touch(r.w)
 	switch a {
 	case AnswerOK:
 		if age := now.Sub(r.placedAt); !r.confirmed && age > slowStart {
@@ -192,6 +192,7 @@
 func (e *Engine) confirm(now time.Time, r *run) {
 	if !r.confirmed {
 		r.confirmed, r.startedAt = true, now
+		r.w.lookBy(now.Add(overdueSlack))
 	}
 	if r.job.State == flow.Queued {
 		r.job.State = flow.Active
@@ -233,6 +234,7 @@
 		return
 	}
 	r.calls--
+	e.touch(r.w)
 	switch a {
 	case AnswerOK, AnswerOld:
 		r.stopAcked, r.stoppedSerial = true, e.holds
@@ -260,7 +262,8 @@
 func (e *Engine) drop(r *run) {
 	delete(r.w.runs, r.id)
 	r.w.used = r.w.used.Sub(r.size)
-	r.job.runs--
+	delete(r.job.runs, r.id)
+	e.touch(r.w)
 	e.dirty[r.job] = true
 }
 
@@ -278,7 +281,7 @@
 func (e *Engine) settle(now time.Time, r *run, why string) {
 	j := r.job
 	if j.State.Final() {
-		if j.runs == 0 {
+		if len(j.runs) == 0 {
 			e.retire(j)
 		}
 		return
--- a/internal/state/sched/stuck.go
+++ b/internal/state/sched/stuck.go
@@ -29,8 +29,10 @@
 	maxDev = 0.8
 	// stuckBench is how long a stuck worker is set aside.
 	stuckBench = 5 * time.Second
-	// stuckEvery is the time between two looks at a worker.
-	stuckEvery = 150 * time.Millisecond
+	// stuckEvery and stuckLatest bound the time between two looks at a worker; in
+	// between is the time at which a run can be overdue at the soonest.
+	stuckEvery  = 150 * time.Millisecond
+	stuckLatest = 5 * time.Second
 )
 
 // expected gives how long a run should take, 0 if nothing is known, and the
@@ -54,12 +56,19 @@
 	return time.Duration(float64(d) * math.Exp(x))
 }
 
+// lookBy makes the next look for tasks that stand still come by a time.
+func (w *worker) lookBy(at time.Time) {
+	if at.Before(w.lookAt) {
+		w.lookAt = at
+	}
+}
+
 // lookStuck stops tasks that stand still on a worker, so that they run elsewhere.
 func (e *Engine) lookStuck(now time.Time, w *worker) {
 	if now.Before(w.lookAt) || !w.reachable() {
 		return
 	}
-	w.lookAt = now.Add(stuckEvery)
+	w.lookAt = now.Add(stuckLatest)
 	jobs := map[*job]bool{}
 	var overdue []*run
 	for _, r := range w.list() {
@@ -68,14 +77,24 @@
 			continue
 		}
 		age := now.Sub(r.startedAt)
-		if age > times(want, min(lostMost, lostBase+lostDev*dev))+lostSlack {
+		lost := times(want, min(lostMost, lostBase+lostDev*dev)) + lostSlack
+		if age > lost {
 			e.stop(now, r, "it takes far longer than expected")
 			continue
 		}
-		if age > times(want, overdueBase+overdueDev*dev)+overdueSlack && w.lastDone.Before(r.startedAt) {
+		late := times(want, overdueBase+overdueDev*dev) + overdueSlack
+		switch {
+		case age <= late:
+			w.lookBy(r.startedAt.Add(late))
+		case w.lastDone.Before(r.startedAt):
 			overdue = append(overdue, r)
 			jobs[r.job] = true
+			w.lookBy(now)
 		}
+		w.lookBy(r.startedAt.Add(lost))
+	}
+	if earliest := now.Add(stuckEvery); w.lookAt.Before(earliest) {
+		w.lookAt = earliest
 	}
 	if len(jobs) < stuckJobs {
 		return
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"container/heap"
 	"sort"
 	"time"
 
@@ -68,6 +69,8 @@
 	WorkerStats
 	lastDone time.Time // when a run last ended as done
 	lookAt   time.Time // of the next look for tasks that stand still
+	dueAt    time.Time // of the next look for anything
+	dueIndex int       // in the engine's queue of them
 }
 
 // SetWorkers takes the newest list of workers.
@@ -81,7 +84,11 @@
 			w.nextHold = now
 			w.failures = 0
 		}
+		changed := !w.listed || w.Addr != in.Addr || w.Draining != in.Draining || w.Boot != in.Boot
 		w.WorkerInfo, w.listed, w.missed = in, true, time.Time{}
+		if changed {
+			e.touch(w)
+		}
 	}
 	for _, w := range e.order {
 		if !w.listed || present[w.ID] {
@@ -115,6 +122,7 @@
 		e.order = append(e.order, nil)
 		copy(e.order[i+1:], e.order[i:])
 		e.order[i] = w
+		heap.Push(&e.due, w)
 	}
 	return w
 }
@@ -130,6 +138,7 @@
 	for _, w := range e.order {
 		if !w.listed && len(w.runs) == 0 && !w.holding {
 			delete(e.workers, w.ID)
+			heap.Remove(&e.due, w.dueIndex)
 			continue
 		}
 		kept = append(kept, w)
