state/sched: keep the jobs of which tasks may wait

Now a job is open while a task of it may wait, and timed while it has rounds to begin. The order of arrival is a counter, as the number of known jobs repeats itself.

--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -58,7 +58,10 @@
 	began       time.Time
 	conf        *flow.Config
 	jobs        map[string]*job
-	live        []*job // jobs that are not final or still have runs
+	live        map[*job]bool // jobs that are not final or still have runs
+	open        map[*job]bool // jobs of which tasks may wait for a start
+	timed       map[*job]bool // jobs with rounds that have not begun
+	arrivals    int           // jobs added so far
 	workers     map[string]*worker
 	order       []*worker // by id
 	due         dueWorkers
@@ -93,7 +96,7 @@
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
 		p: p, began: now, jobs: map[string]*job{}, workers: map[string]*worker{}, callers: map[string]*caller{},
-		dirty: map[*job]bool{}, queues: map[string]*QueueStats{}, acks: map[*worker]ack{}, holders: map[TaskID]time.Time{},
+		live: map[*job]bool{}, open: map[*job]bool{}, timed: map[*job]bool{}, dirty: map[*job]bool{}, queues: map[string]*QueueStats{}, acks: map[*worker]ack{}, holders: map[TaskID]time.Time{},
 	}
 }
 
@@ -116,8 +119,9 @@
 	if _, ok := e.jobs[fj.ID]; ok {
 		return
 	}
-	j := &job{Job: fj, shown: fj.State, seenAt: now, seq: len(e.jobs), advice: map[int]map[int]*stepAdvice{}, runs: map[TaskID]*run{}}
+	j := &job{Job: fj, shown: fj.State, seenAt: now, seq: e.arrivals, advice: map[int]map[int]*stepAdvice{}, runs: map[TaskID]*run{}}
 	j.objMs = objective(fj.Spec)
+	e.arrivals++
 	e.jobs[fj.ID] = j
 	for _, r := range fj.Progress.Rounds {
 		for s := range r.Steps {
@@ -129,7 +133,12 @@
 		}
 	}
 	if !j.State.Final() || len(j.runs) > 0 {
-		e.live = append(e.live, j)
+		e.live[j] = true
+	}
+	if !j.State.Final() {
+		e.open[j] = true
+		e.timed[j] = j.NextRound < j.Spec.Rounds()
+		e.beginRounds(now, j)
 	}
 	if fj.Canceled {
 		e.cancel(now, j)
@@ -170,6 +179,8 @@
 func (e *Engine) finish(now time.Time, j *job, st flow.State) {
 	j.State, j.EndedMs = st, now.UnixMilli()
 	e.dirty[j] = true
+	delete(e.open, j)
+	delete(e.timed, j)
 	e.event("job-ended", TaskID{Job: j.ID}, 0, "", st.String(), now.Sub(j.seenAt))
 	if st != flow.Complete {
 		for _, r := range j.listRuns() {
@@ -196,6 +207,7 @@
 	j.Progress.Rounds = nil
 	j.advice = nil
 	e.dirty[j] = true
+	delete(e.live, j)
 }
 
 // Tick starts rounds that are due, forgets jobs whose time is over, and acts on
@@ -206,17 +218,9 @@
 		return e.tickAt
 	}
 	e.tickAt = now.Add(tickEvery)
-	kept := e.live[:0]
-	for _, j := range e.live {
-		if j.State.Final() && len(j.runs) == 0 {
-			continue
-		}
-		kept = append(kept, j)
-		if !j.State.Final() {
-			e.beginRounds(now, j)
-		}
+	for j := range e.timed {
+		e.beginRounds(now, j)
 	}
-	e.live = kept
 	e.tickWorkers(now)
 	e.probeCallers(now)
 	e.expire(now)
@@ -234,6 +238,10 @@
 	for j.NextRound < j.Spec.Rounds() && now.UnixMilli() >= j.DueMs(j.NextRound) && j.MayOpen(len(j.Progress.Rounds)) {
 		j.Progress.Rounds = append(j.Progress.Rounds, flow.NewRound(j.Spec, j.NextRound))
 		j.NextRound++
+		e.open[j] = true
+	}
+	if j.NextRound >= j.Spec.Rounds() {
+		delete(e.timed, j)
 	}
 }
 
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -87,10 +87,8 @@
 	for _, c := range waiting {
 		p.lowest = max(p.lowest, c.prio)
 	}
-	for _, r := range e.live {
-		if len(r.runs) > 0 {
-			p.lowest = max(p.lowest, e.policy(r).Priority)
-		}
+	for i := range e.conf.Queues {
+		p.lowest = max(p.lowest, e.conf.Queues[i].Policy.Priority)
 	}
 	for _, c := range waiting {
 		if p.ranked >= maxRanked {
@@ -144,12 +142,13 @@
 // lateFactor is how many objectives after its acceptance a job is of no use.
 const lateFactor = 3
 
+// waiting gives the steps with tasks that may start, in the order in which they
+// are looked at. A job of which none waits is not open any more, until one of its
+// tasks or steps changes.
 func (e *Engine) waiting(now time.Time) []candidate {
 	var list []candidate
-	for _, j := range e.live {
-		if j.State.Final() || now.Before(j.blockTil) {
-			continue
-		}
+	for j := range e.open {
+		found := len(list)
 		for _, r := range j.Progress.Rounds {
 			for s := range r.Steps {
 				if idle := e.idle(j, r, s); len(idle) > 0 {
@@ -157,20 +156,33 @@
 				}
 			}
 		}
-	}
-	sort.SliceStable(list, func(i, k int) bool {
-		a, b := &list[i], &list[k]
-		if a.class != b.class {
-			return a.class < b.class
+		if len(list) == found {
+			delete(e.open, j)
 		}
-		if a.prio != b.prio {
-			return a.prio < b.prio
+		if now.Before(j.blockTil) {
+			list = list[:found]
 		}
-		return a.j.seq < b.j.seq
-	})
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].before(&list[k]) })
 	return list
 }
 
+// before tells which of two steps is looked at first: by lateness, urgency, and
+// the order in which the jobs came.
+func (c *candidate) before(d *candidate) bool {
+	switch {
+	case c.class != d.class:
+		return c.class < d.class
+	case c.prio != d.prio:
+		return c.prio < d.prio
+	case c.j != d.j:
+		return c.j.seq < d.j.seq
+	case c.round != d.round:
+		return c.round.Number < d.round.Number
+	}
+	return c.step < d.step
+}
+
 func lateness(now time.Time, j *job, r *flow.Round) int {
 	since := max(j.AcceptedMs, j.DueMs(r.Number))
 	age := now.UnixMilli() - since
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -265,6 +265,9 @@
 	delete(r.job.runs, r.id)
 	e.touch(r.w)
 	e.dirty[r.job] = true
+	if !r.job.State.Final() {
+		e.open[r.job] = true
+	}
 }
 
 // void ends a run that left no result.
