state/sched: an index of workers by room and rank

Now trees hold the workers by class of free processors and by rank (github.com/google/btree), and a step is looked for only where it may fit; ended jobs are forgotten in the order of their ends. TestPassCost bounds the growth of allocations.

--- a/internal/state/sched/bench_test.go
+++ b/internal/state/sched/bench_test.go
@@ -19,30 +19,53 @@
 			b.ResetTimer()
 			for i := range b.N {
 				now = now.Add(10 * time.Millisecond)
-				id := fmt.Sprintf("b%d", i)
-				e.AddJob(now, &flow.Job{Spec: simJob(id, "q2", tasks(3, 2000, 640))})
-				e.Tick(now)
-				e.Decide(now)
-				batch := e.Batch()
-				e.Committed(now, batch)
-				ended := map[string][]End{}
-				for _, o := range e.Take().Orders {
-					if o.Kind == OrderStart {
-						e.Started(now, o, AnswerOK, 0)
-						w := e.workers[o.Worker]
-						ended[o.Worker] = append(ended[o.Worker], End{Number: w.seen + int64(len(ended[o.Worker])) + 1, Task: o.Task, Run: o.Run})
-					}
-				}
-				for name, ends := range ended {
-					w := e.workers[name]
-					e.takeEnds(now, w, ends)
-				}
-				e.Committed(now, e.Batch())
+				onePass(e, now, i)
 			}
 		})
 	}
 }
 
+// onePass starts and ends one quick job of three tasks.
+func onePass(e *Engine, now time.Time, i int) {
+	id := fmt.Sprintf("b%d", i)
+	e.AddJob(now, &flow.Job{Spec: simJob(id, "q2", tasks(3, 2000, 640))})
+	e.Tick(now)
+	e.Decide(now)
+	batch := e.Batch()
+	e.Committed(now, batch)
+	ended := map[string][]End{}
+	for _, o := range e.Take().Orders {
+		if o.Kind == OrderStart {
+			e.Started(now, o, AnswerOK, 0)
+			w := e.workers[o.Worker]
+			ended[o.Worker] = append(ended[o.Worker], End{Number: w.seen + int64(len(ended[o.Worker])) + 1, Task: o.Task, Run: o.Run})
+		}
+	}
+	for name, ends := range ended {
+		w := e.workers[name]
+		e.takeEnds(now, w, ends)
+	}
+	e.Committed(now, e.Batch())
+}
+
+// TestPassCost checks that a pass of decisions does not grow with the number of
+// workers, by its allocations: each look at a worker makes some.
+func TestPassCost(t *testing.T) {
+	cost := func(n int) float64 {
+		e, now := benchEngine(n)
+		i := 0
+		return testing.AllocsPerRun(50, func() {
+			now = now.Add(10 * time.Millisecond)
+			onePass(e, now, i)
+			i++
+		})
+	}
+	few, many := cost(48), cost(2000)
+	if many > 2*few {
+		t.Errorf("a pass makes %.0f allocations beside 48 workers and %.0f beside 2000", few, many)
+	}
+}
+
 // benchEngine gives an engine with n workers, each half full of lasting tasks.
 func benchEngine(n int) (*Engine, time.Time) {
 	now := time.UnixMilli(1_700_000_000_000)
--- a/internal/state/sched/due.go
+++ b/internal/state/sched/due.go
@@ -7,7 +7,7 @@
 
 // idleLook is the longest time between two looks at a worker for which nothing is
 // due.
-const idleLook = time.Second
+const idleLook = time.Minute
 
 // dueWorkers are all workers by the time of their next look, soonest first.
 type dueWorkers []*worker
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -62,9 +62,11 @@
 	open        map[*job]bool // jobs of which tasks may wait for a start
 	timed       map[*job]bool // jobs with rounds that have not begun
 	arrivals    int           // jobs added so far
+	ended       []*job        // about in the order of their ends
 	workers     map[string]*worker
 	order       []*worker // by id
 	due         dueWorkers
+	index       *index
 	callers     map[string]*caller
 	callerOrder []*caller // by name
 	dirty       map[*job]bool
@@ -95,7 +97,7 @@
 // New gives the engine of a leader that takes over now.
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
-		p: p, began: now, jobs: map[string]*job{}, workers: map[string]*worker{}, callers: map[string]*caller{},
+		p: p, began: now, index: newIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, callers: map[string]*caller{},
 		live: map[*job]bool{}, open: map[*job]bool{}, timed: map[*job]bool{}, dirty: map[*job]bool{}, queues: map[string]*QueueStats{}, acks: map[*worker]ack{}, holders: map[TaskID]time.Time{},
 	}
 }
@@ -135,7 +137,9 @@
 	if !j.State.Final() || len(j.runs) > 0 {
 		e.live[j] = true
 	}
-	if !j.State.Final() {
+	if j.State.Final() {
+		e.ended = append(e.ended, j)
+	} else {
 		e.open[j] = true
 		e.timed[j] = j.NextRound < j.Spec.Rounds()
 		e.beginRounds(now, j)
@@ -178,6 +182,7 @@
 // finish gives a job its final state and stops what still runs of it.
 func (e *Engine) finish(now time.Time, j *job, st flow.State) {
 	j.State, j.EndedMs = st, now.UnixMilli()
+	e.ended = append(e.ended, j)
 	e.dirty[j] = true
 	delete(e.open, j)
 	delete(e.timed, j)
@@ -257,11 +262,15 @@
 	}
 	e.expireAt = now.Add(expireEvery)
 	limit := now.Add(-e.p.KeepFor - dropSlack).UnixMilli()
-	for id, j := range e.jobs {
-		if j.State.Final() && len(j.runs) == 0 && j.EndedMs < limit && !e.dirty[j] {
-			e.drops = append(e.drops, id)
-			delete(e.jobs, id)
+	for n := len(e.ended); n > 0 && e.ended[0].EndedMs < limit; n-- {
+		j := e.ended[0]
+		e.ended = e.ended[1:]
+		if len(j.runs) > 0 || e.dirty[j] {
+			e.ended = append(e.ended, j)
+			continue
 		}
+		e.drops = append(e.drops, j.ID)
+		delete(e.jobs, j.ID)
 	}
 	sort.Strings(e.drops)
 }
--- a/internal/state/sched/learn.go
+++ b/internal/state/sched/learn.go
@@ -85,6 +85,7 @@
 		w.WorkerStats = s
 	}
 	delete(e.taught, w.ID)
+	e.index.update(w)
 }
 
 // learn updates how slow a worker is from a run that ended as done.
@@ -104,4 +105,5 @@
 	}
 	r.w.Slow += max(speedWeight, 1/(float64(r.w.Samples)+firstWeight)) * (rel - r.w.Slow)
 	r.w.Samples++
+	e.index.update(r.w)
 }
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -56,6 +56,7 @@
 	r := &run{id: id, job: j, task: t, n: t.Run, w: w, size: size, placedAt: now}
 	w.runs[id] = r
 	w.used = w.used.Add(size)
+	e.index.update(w)
 	j.runs[id] = r
 	e.touch(w)
 	return r
@@ -262,6 +263,7 @@
 func (e *Engine) drop(r *run) {
 	delete(r.w.runs, r.id)
 	r.w.used = r.w.used.Sub(r.size)
+	e.index.update(r.w)
 	delete(r.job.runs, r.id)
 	e.touch(r.w)
 	e.dirty[r.job] = true
--- a/internal/state/sched/stuck.go
+++ b/internal/state/sched/stuck.go
@@ -68,7 +68,7 @@
 	if now.Before(w.lookAt) || !w.reachable() {
 		return
 	}
-	w.lookAt = now.Add(stuckLatest)
+	w.lookAt = now.Add(idleLook)
 	jobs := map[*job]bool{}
 	var overdue []*run
 	for _, r := range w.list() {
@@ -76,6 +76,7 @@
 		if want == 0 || !r.confirmed || r.stopping != "" {
 			continue
 		}
+		w.lookBy(now.Add(stuckLatest))
 		age := now.Sub(r.startedAt)
 		lost := times(want, min(lostMost, lostBase+lostDev*dev)) + lostSlack
 		if age > lost {
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -67,6 +67,9 @@
 	benchedTo time.Time // not used before, after failures
 	failJobs  map[string]bool
 	WorkerStats
+	indexed  bool      // whether the engine's index holds it
+	level    int       // there
+	rank     float64   // there: the lower the better, for any step
 	lastDone time.Time // when a run last ended as done
 	lookAt   time.Time // of the next look for tasks that stand still
 	dueAt    time.Time // of the next look for anything
@@ -89,6 +92,7 @@
 		if changed {
 			e.touch(w)
 		}
+		e.index.update(w)
 	}
 	for _, w := range e.order {
 		if !w.listed || present[w.ID] {
@@ -99,6 +103,7 @@
 		}
 		if !w.reachable() || now.Sub(w.missed) > missingTime {
 			w.listed = false
+			e.index.update(w)
 			e.event("worker-unlisted", TaskID{}, 0, w.ID, "", now.Sub(w.answered))
 		}
 	}
