state/sched, platform: slow filling tasks down beside tasks near their bound

Cause: not built so far; a task whose response times have a bound would be over it as long as filling tasks disturb it, which the platform's rules forbid after some seconds. A worker's filling tasks are halved in speed while a task beside them is above 0.85 of its bound, made faster again after two calm seconds, and get a known pace from a leader that takes over. TestFillersGiveWay fails without it (over the bound for more than 4 s).

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -20,6 +20,7 @@
 type Workers struct {
 	Start func(ctx context.Context, o sched.Order, term int64) sched.Answer
 	Stop  func(ctx context.Context, o sched.Order, term int64) sched.Answer
+	Pace  func(ctx context.Context, o sched.Order, term int64) sched.Answer
 	Hold  func(ctx context.Context, o sched.Order, term int64) (sched.Report, sched.Answer)
 	// List gives the workers that the platform lists.
 	List func(ctx context.Context) ([]sched.WorkerInfo, error)
--- a/internal/coordination/core/give.go
+++ b/internal/coordination/core/give.go
@@ -91,15 +91,8 @@
 	s := c.carrier.session(leader, c.set.Now())
 	for _, o := range orders {
 		c.calls.Go(func() {
-			a := NumberedAnswer{ID: o.ID}
-			switch o.Kind {
-			case sched.OrderStart:
-				a.Answer = c.callStart(o.Order, term)
-			case sched.OrderStop:
-				a.Answer = c.callStop(o.Order, term)
-			case sched.OrderHold:
-				a.Report, a.Answer = c.callHold(o.Order, term)
-			}
+			a := c.callOrder(o.Order, term)
+			a.ID = o.ID
 			c.carrier.add(s, a)
 		})
 	}
@@ -126,20 +119,26 @@
 	}
 }
 
-func (c *Core) callStart(o sched.Order, term int64) sched.Answer {
-	ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
-	defer cancel()
-	return c.set.Workers.Start(ctx, o, term)
-}
-
-func (c *Core) callStop(o sched.Order, term int64) sched.Answer {
-	ctx, cancel := context.WithTimeout(c.ctx, stopTimeout)
-	defer cancel()
-	return c.set.Workers.Stop(ctx, o, term)
-}
-
-func (c *Core) callHold(o sched.Order, term int64) (sched.Report, sched.Answer) {
-	ctx, cancel := context.WithTimeout(c.ctx, o.Wait+holdTimeout)
+// callOrder calls the worker that an order is for.
+func (c *Core) callOrder(o sched.Order, term int64) (a NumberedAnswer) {
+	wait := startTimeout
+	switch o.Kind {
+	case sched.OrderStop, sched.OrderPace:
+		wait = stopTimeout
+	case sched.OrderHold:
+		wait = o.Wait + holdTimeout
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
-	return c.set.Workers.Hold(ctx, o, term)
+	switch o.Kind {
+	case sched.OrderStart:
+		a.Answer = c.set.Workers.Start(ctx, o, term)
+	case sched.OrderStop:
+		a.Answer = c.set.Workers.Stop(ctx, o, term)
+	case sched.OrderPace:
+		a.Answer = c.set.Workers.Pace(ctx, o, term)
+	case sched.OrderHold:
+		a.Report, a.Answer = c.set.Workers.Hold(ctx, o, term)
+	}
+	return a
 }
--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -177,6 +177,8 @@
 		c.engine.Started(now, p.order, a.Answer, took)
 	case sched.OrderStop:
 		c.engine.Stopped(now, p.order, a.Answer, took)
+	case sched.OrderPace:
+		c.engine.Paced(p.order, a.Answer)
 	case sched.OrderHold:
 		if a.Answer == sched.AnswerOK {
 			c.engine.Held(now, p.order, a.Report)
--- a/internal/coordination/core/step.go
+++ b/internal/coordination/core/step.go
@@ -292,15 +292,7 @@
 // sendOrder gives an order from this instance.
 func (c *Core) sendOrder(o sched.Order, term int64) {
 	began := c.set.Now()
-	a := NumberedAnswer{}
-	switch o.Kind {
-	case sched.OrderStart:
-		a.Answer = c.callStart(o, term)
-	case sched.OrderStop:
-		a.Answer = c.callStop(o, term)
-	case sched.OrderHold:
-		a.Report, a.Answer = c.callHold(o, term)
-	}
+	a := c.callOrder(o, term)
 	c.post(func(now time.Time) {
 		c.report(term, func() { c.answered(now, pendingOrder{order: o, sentAt: began}, a) })
 	})
--- a/internal/protocol/cell/relay.go
+++ b/internal/protocol/cell/relay.go
@@ -19,6 +19,7 @@
 		n := core.NumberedOrder{ID: o.Id, Order: sched.Order{
 			Kind: sched.OrderKind(o.Kind), Worker: o.Worker, Addr: o.Addr, Run: int(o.Run), Payload: o.Payload,
 			Saved: o.Saved, Ticket: o.Ticket, Until: o.UntilMs, Acked: o.Acked, Wait: time.Duration(o.WaitMs) * time.Millisecond,
+			Percent: int(o.Percent),
 		}}
 		if o.Task != "" {
 			id, err := sched.ParseTaskID(o.Task)
@@ -40,7 +41,7 @@
 	for _, a := range list {
 		x := &cellpb.Answer{Id: a.ID, Answer: int32(a.Answer), Boot: a.Report.Boot, ClockUs: a.Report.Clock.Microseconds()}
 		for _, v := range a.Report.Running {
-			x.Running = append(x.Running, &cellpb.Running{Task: v.Task.String(), Run: int64(v.Run), Saved: v.Saved})
+			x.Running = append(x.Running, &cellpb.Running{Task: v.Task.String(), Run: int64(v.Run), Saved: v.Saved, Load: v.Load})
 		}
 		for _, v := range a.Report.Ended {
 			x.Ended = append(x.Ended, &cellpb.End{Number: v.Number, Task: v.Task.String(), Run: int64(v.Run), Kind: int32(v.Kind), Saved: v.Saved})
@@ -57,6 +58,7 @@
 		x := &cellpb.Order{
 			Id: o.ID, Kind: int32(o.Kind), Worker: o.Worker, Addr: o.Addr, Run: int64(o.Run), Payload: o.Payload,
 			Saved: o.Saved, Ticket: o.Ticket, UntilMs: o.Until, Acked: o.Acked, WaitMs: o.Wait.Milliseconds(),
+			Percent: int32(o.Percent),
 		}
 		if o.Kind != sched.OrderHold {
 			x.Task = o.Task.String()
@@ -92,7 +94,7 @@
 		if err != nil {
 			return a, err
 		}
-		a.Report.Running = append(a.Report.Running, sched.Running{Task: id, Run: int(v.Run), Saved: v.Saved})
+		a.Report.Running = append(a.Report.Running, sched.Running{Task: id, Run: int(v.Run), Saved: v.Saved, Load: v.Load})
 	}
 	for _, v := range x.Ended {
 		id, err := sched.ParseTaskID(v.Task)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -126,6 +126,9 @@
 		Stop: func(ctx context.Context, o sched.Order, term int64) sched.Answer {
 			return f.call(ctx, client, o, func(w *Worker) sched.Answer { return w.stop(term, o) })
 		},
+		Pace: func(ctx context.Context, o sched.Order, term int64) sched.Answer {
+			return f.call(ctx, client, o, func(w *Worker) sched.Answer { return w.pace(term, o) })
+		},
 		Hold: func(ctx context.Context, o sched.Order, term int64) (sched.Report, sched.Answer) {
 			return f.hold(ctx, client, o, term)
 		},
@@ -305,6 +308,18 @@
 	return sched.AnswerOK
 }
 
+// pace takes a change of pace, which changes nothing for a task's time here.
+func (w *Worker) pace(term int64, o sched.Order) sched.Answer {
+	if term < w.fence {
+		return sched.AnswerFenced
+	}
+	w.fence = term
+	if r := w.runs[o.Task]; r == nil || r.n != o.Run {
+		return sched.AnswerOld
+	}
+	return sched.AnswerOK
+}
+
 func (f *Fleet) hold(ctx context.Context, client string, o sched.Order, term int64) (sched.Report, sched.Answer) {
 	var until <-chan time.Time
 	if o.Wait > 0 {
--- a/internal/state/sched/ends.go
+++ b/internal/state/sched/ends.go
@@ -38,6 +38,10 @@
 	Task  TaskID
 	Run   int
 	Saved string
+	// Load is a rough figure for the last half second: the tail of the response
+	// times in milliseconds of a task with a bound on them, the processors in use
+	// of any other.
+	Load float64
 }
 
 // Report is a worker's answer to a hold.
@@ -88,10 +92,12 @@
 			e.event("worker-restarted", TaskID{}, 0, w.ID, "", 0)
 		}
 		w.boot, w.acked, w.seen = rep.Boot, 0, 0
+		w.pacing = pacing{}
 		e.recall(w)
 	}
 	w.clock, w.clockAt = rep.Clock, now
 	listed := e.takeRunning(now, w, rep.Running)
+	e.pace(now, w, rep.Running)
 	e.takeEnds(now, w, rep.Ended)
 	for _, r := range w.list() {
 		if !listed[r.id] {
--- a/internal/state/sched/output.go
+++ b/internal/state/sched/output.go
@@ -14,6 +14,7 @@
 	OrderStart OrderKind = iota
 	OrderStop
 	OrderHold
+	OrderPace // sets the share of its speed at which a run works
 )
 
 // Order is a call to a worker.
@@ -30,6 +31,7 @@
 	Acked   int64         // hold: ends up to this number are recorded
 	Wait    time.Duration // hold: how long the worker may wait for an end
 	Serial  uint64        // hold: rises with each hold of the engine
+	Percent int           // pace: the share
 }
 
 // Ask is a question to the placement service.
--- /dev/null
+++ b/internal/state/sched/pace_test.go
@@ -0,0 +1,100 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// TestFillersGiveWay plays a lasting task with a bound on its response times
+// beside filling tasks that disturb it: it must never be over its bound for long,
+// and the filling tasks must go on at some pace. A leader that takes over does
+// not know their pace and must set it.
+func TestFillersGiveWay(t *testing.T) {
+	const bound, alone = 100.0, 40.0
+	// longest is how long the users of the platform bear a task over its bound.
+	const longest = 4 * time.Second
+	is := is.New(t)
+	e := readyEngine(t, 1, flow.Advice{})
+	lasting := tasks(1, 4000, 0)
+	lasting.Lasting, lasting.TailMs = true, bound
+	filling := tasks(3, 4000, 600_000)
+	filling.Filling = true
+	jobs := []*flow.Job{{Spec: simJob("serves", "q", lasting)}, {Spec: simJob("fills", "q", filling)}}
+	for _, j := range jobs {
+		e.AddJob(at(0), j)
+	}
+	percent := map[TaskID]int{}
+	running := map[TaskID]int{}
+	tail := func(ms int) float64 {
+		harm := 40.0
+		if ms > 20_000 {
+			harm = 12 // the same tasks disturb less later on
+		}
+		sum := alone
+		for _, p := range percent {
+			sum += harm * float64(p) / 100
+		}
+		return sum
+	}
+	var overSince time.Time
+	done := 0.0
+	for ms := 0; ms < 60_000; ms += 50 {
+		now := at(ms)
+		if ms == 40_000 {
+			// Another leader takes over.
+			is.True(percent[TaskID{Job: "fills"}] > 0)
+			next := readyEngine(t, 1, flow.Advice{})
+			for _, j := range jobs {
+				next.AddJob(now, &flow.Job{Spec: j.Spec, Progress: j.Progress})
+			}
+			e = next
+		}
+		e.Tick(now)
+		e.Decide(now)
+		e.Committed(now, e.Batch())
+		for _, o := range e.Take().Orders {
+			switch o.Kind {
+			case OrderStart:
+				running[o.Task] = o.Run
+				if o.Task.Job == "fills" {
+					percent[o.Task] = fullPace
+				}
+				e.Started(now, o, AnswerOK, 0)
+			case OrderPace:
+				percent[o.Task] = o.Percent
+				e.Paced(o, AnswerOK)
+			case OrderHold:
+				rep := Report{Boot: 1, Clock: time.Second + time.Duration(ms)*time.Millisecond}
+				for id, n := range running {
+					x := Running{Task: id, Run: n}
+					if id.Job == "serves" {
+						x.Load = tail(ms)
+					}
+					rep.Running = append(rep.Running, x)
+				}
+				e.Held(now, o, rep)
+			}
+		}
+		if tail(ms) <= bound {
+			overSince = time.Time{}
+		} else if overSince.IsZero() {
+			overSince = now
+		}
+		if !overSince.IsZero() && now.Sub(overSince) > longest {
+			t.Fatalf("at %d ms the task has been over its bound for %v, filling tasks at %v", ms, now.Sub(overSince), percent)
+		}
+		for _, p := range percent {
+			done += float64(p) / 100 * 0.05
+		}
+	}
+	is.Equal(len(percent), 3)
+	// Three tasks could work 180 s in all; in the first third they may work at half
+	// their speed at most.
+	if done < 60 {
+		t.Errorf("the filling tasks worked for %.0f s only", done)
+	}
+}
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -46,6 +46,7 @@
 	stopAcked     bool
 	stoppedSerial uint64 // holds issued up to the stop's answer
 	checkNext     bool   // the next hold must answer at once
+	percent       int    // share of its speed at which it works
 	ticket        string
 	ticketTo      time.Time
 }
@@ -53,7 +54,7 @@
 func (e *Engine) newRun(now time.Time, j *job, id TaskID, t *flow.Task, w *worker) *run {
 	st := &j.Steps[id.Step]
 	size := taskSize(st)
-	r := &run{id: id, job: j, task: t, n: t.Run, w: w, size: size, placedAt: now}
+	r := &run{id: id, job: j, task: t, n: t.Run, w: w, size: size, placedAt: now, percent: fullPace}
 	w.runs[id] = r
 	w.used = w.used.Add(size)
 	e.index.update(w)
@@ -66,7 +67,7 @@
 func (e *Engine) inherit(j *job, id TaskID, t *flow.Task) {
 	w := e.worker(t.Worker)
 	r := e.newRun(e.began, j, id, t, w)
-	r.inherited, r.ordered = true, true
+	r.inherited, r.ordered, r.percent = true, true, paceUnknown
 	if j.State.Final() {
 		r.stopping = j.State.String()
 	}
--- a/internal/state/sched/seats.go
+++ b/internal/state/sched/seats.go
@@ -64,6 +64,9 @@
 	if s.w.Service != pol.Service || !size.Within(s.w.Capacity) || (st.Label != "" && !s.w.has(st.Label)) {
 		return false
 	}
+	if st.Filling && s.w.pacing.percent() < noFill {
+		return false
+	}
 	// A task that failed goes elsewhere if it can, in case its worker is at fault.
 	if t := &c.round.Steps[c.step][c.idle[0]]; t.Fails > 0 && t.Worker == s.w.ID && len(e.order) > 1 {
 		return false
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -72,6 +72,7 @@
 	rank     float64   // there: the lower the better, for any step
 	lastDone time.Time // when a run last ended as done
 	lookAt   time.Time // of the next look for tasks that stand still
+	pacing   pacing
 	dueAt    time.Time // of the next look for anything
 	dueIndex int       // in the engine's queue of them
 }
