--- a/internal/coordination/stream/snapshot.go
+++ b/internal/coordination/stream/snapshot.go
@@ -23,6 +23,7 @@
 const (
 	partBytes        = 128 << 10
 	maxSnapshotBytes = 1400 << 10
+	maxParts         = maxSnapshotBytes/partBytes + 1
 )
 
 // snapshotPart is one record of a snapshot. All parts of one are appended by one
@@ -84,6 +85,9 @@
 	if !ok {
 		return nil, nil
 	}
+	if first.ID == "" || first.Parts < 1 || first.Parts > maxParts {
+		return nil, errors.Errorf("snapshot %q has %d parts", first.ID, first.Parts)
+	}
 	var state []byte
 	for i := range first.Parts {
 		p := parts[fmt.Sprint(prefixSnapshot, i)]
--- a/internal/coordination/stream/snapshot_test.go
+++ b/internal/coordination/stream/snapshot_test.go
@@ -43,3 +43,26 @@
 	_, err = newestSnapshot(context.Background(), log)
 	is.True(err != nil)
 }
+
+// FuzzSnapshot feeds records of other writers: they are told or give a state of
+// bounded size.
+func FuzzSnapshot(f *testing.F) {
+	f.Add([]byte(`{"id":"a","parts":2,"data":"aGk="}`), []byte(`{"id":"a","parts":2,"data":"aGk="}`))
+	f.Add([]byte(`{"parts":1000000000}`), []byte(`{}`))
+	f.Add([]byte(`{"id":"a","parts":-1}`), []byte("\x00"))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		s := store.New(1)
+		log := s.Log("x")
+		if len(first) == 0 || len(second) == 0 {
+			return
+		}
+		records := []ledger.Record{{Key: prefixSnapshot + "0", Value: first}, {Key: prefixSnapshot + "1", Value: second}}
+		if err := add(context.Background(), log, records); err != nil {
+			t.Fatal(err)
+		}
+		state, err := newestSnapshot(context.Background(), log)
+		if err == nil && len(state) > len(first)+len(second) {
+			t.Errorf("a state of %d bytes from records of %d and %d", len(state), len(first), len(second))
+		}
+	})
+}
