--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -108,6 +108,9 @@
 	if _, err := rand.Read(life); err != nil {
 		return nil, err
 	}
+	if _, err := uptime(); err != nil {
+		return nil, err
+	}
 	s := &site{set: set, logger: logger, meter: meter.New(), leaving: make(chan struct{})}
 	client := platform.NewHTTP()
 	store := &platform.Store{Addr: set.Store, HTTP: client}
@@ -120,18 +123,27 @@
 		Advisers: core.Advisers{Own: placement.Advise, Peer: peers.Advise},
 		Peers:    core.Peers{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Ready: peers.Ready},
 		Relay:    core.Relay{Give: peers.Give, Answers: peers.Answers},
-		Now:      time.Now, Uptime: uptime, Logger: logger, Meter: s.meter,
+		Now:      time.Now, Uptime: s.uptime, Logger: logger, Meter: s.meter,
 	})
 	return s, nil
 }
 
-// uptime gives a clock that counts time in which the machine is suspended, too.
-func uptime() time.Duration {
+// uptime reads the clock that also counts time in which the machine is suspended.
+func uptime() (time.Duration, error) {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano())
+		return 0, errs.At("read the time since boot", "machine", err)
+	}
+	return time.Duration(t.Nano()), nil
+}
+
+// uptime is the same for the core. A clock that has been read once can be read.
+func (s *site) uptime() time.Duration {
+	d, err := uptime()
+	if err != nil {
+		s.logger.Error().Err(err).Msg("site: the time since boot can't be read any more")
 	}
-	return time.Duration(t.Nano())
+	return d
 }
 
 func (s *site) run(ctx context.Context, path string) error {
