internal/state/sched, internal/coordination/core: tell why work waits while machines are idle

Cause: logs and metrics gave the processors used and the number of waiting steps. Reserved against used capacity, what a step waits for, and what queries to the placement service are spent on could not be told apart.

Change: Stats has shares of the processors (used, unconfirmed, stopping, reserved, reserved and idle), the pending steps of each queue by what they wait for, and its oldest step. Activity, taken once a second, counts queries by purpose, workers named, tickets received, without room and used, and durations: to the first and last placement, to the confirmation, to the record of an end, and of queries. `leader: state` has the shares and how busy the placement clients are; the new line `leader: queue` has the rest, for at most 8 queues. The metrics page has all of it. Reasons are computed once a second and the fit of tasks only for the steps that a pass evaluates; no decision changes. docs/OPERATIONS.md leads from the figures to the cause.

Ruled out: reasons recorded at each pass, which costs a map access for every pending step a hundred times a second.

The longest pass and loop delay are in the log lines. gofmt, go vet, staticcheck, go test ./... pass, and the tests of sched, core and meter with the race detector.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -103,7 +103,10 @@
 	nextDecideAt   time.Time
 	nextTickAt     time.Time
 	lastStatsAt    time.Time
-	decisionDue    bool // something has changed since the last decisions
+	wakeAt         time.Time // when the loop wakes up at the latest
+	passes         passStats // since lastStatsAt
+	waitingQueues  []string  // queues with pending steps at lastStatsAt
+	decisionDue    bool      // something has changed since the last decisions
 	calls          *conc.WaitGroup
 	ctx            context.Context
 }
@@ -195,7 +198,9 @@
 		}
 		now := c.settings.Now()
 		c.step(now)
-		t.Reset(c.untilNextStep(now))
+		wait := c.untilNextStep(now)
+		c.wakeAt = now.Add(wait)
+		t.Reset(wait)
 	}
 }
 
--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -226,6 +226,7 @@
 func (c *Core) startLeading(now time.Time) {
 	c.settings.Logger.Info().Int64("term", c.election.term).Int("jobs", len(c.jobs)).Msg("leader: term begins")
 	c.engine = sched.New(c.settings.Params, now)
+	c.passes = passStats{}
 	c.restoreEstimates()
 	c.appending = appendState{writer: c.leaderWriter(c.election.term), lastSentAt: now, estimatesAt: now}
 	c.election.confirmedAt = c.settings.Uptime()
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sort"
 	"time"
 
@@ -61,7 +60,7 @@
 	c.stepTransfer(now)
 	c.nextTickAt = c.engine.Tick(now)
 	if c.decisionDue && !now.Before(c.nextDecideAt) || now.Sub(c.nextDecideAt) > loopInterval {
-		c.engine.Schedule(now)
+		c.schedule(now)
 		c.decisionDue = false
 		c.nextDecideAt = now.Add(decideInterval)
 	}
@@ -69,24 +68,10 @@
 	c.expireOrders(now)
 	c.dispatch(now)
 	if c.engine != nil && now.Sub(c.lastStatsAt) >= statsInterval {
-		c.lastStatsAt = now
 		c.logStats(now)
 	}
 }
 
-// statsInterval is the time between two log lines on the leader's state.
-const statsInterval = time.Second
-
-func (c *Core) logStats(now time.Time) {
-	s := c.engine.Stats(now)
-	c.settings.Meter.Gauge("live_jobs", float64(s.LiveJobs))
-	c.settings.Meter.Gauge("runs", float64(s.Runs))
-	c.settings.Meter.Gauge("cpu_used", s.CPUUsed)
-	c.settings.Logger.Info().Int("jobs", s.Jobs).Int("live", s.LiveJobs).Int("waiting", s.PendingSteps).Int("waiting-late", s.LatePendingSteps).Interface("waiting-in", s.PendingStepsByQueue).
-		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.UnansweredStarts).Int("workers", s.Workers).Int("usable", s.Usable).
-		Float64("cpu-used", math.Round(s.CPUUsed*100)/100).Int("asking", s.QueriesInFlight).Int64("term", c.election.term).Msg("leader: state")
-}
-
 // stepAppend stores the decisions, one append at a time, or a heartbeat if
 // there are none for heartbeatInterval.
 func (c *Core) stepAppend(now time.Time) {
--- a/internal/state/meter/meter.go
+++ b/internal/state/meter/meter.go
@@ -51,9 +51,9 @@
 	c.Inc(n)
 }
 
-// Gauge sets the gauge of that name to v. It has no labels.
-func (s *Set) Gauge(name string, v float64) {
-	g := s.registry.GetOrRegister(s.seriesKey(name), metrics.NewGaugeFloat64).(metrics.GaugeFloat64)
+// Gauge sets the gauge of that name and pairs of label names and values to v.
+func (s *Set) Gauge(name string, v float64, labels ...string) {
+	g := s.registry.GetOrRegister(s.seriesKey(name, labels...), metrics.NewGaugeFloat64).(metrics.GaugeFloat64)
 	g.Update(v)
 }
 
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -82,6 +82,8 @@
 	output               Output
 	unsavedStarts        []*run // in the next batch; ordered once it is stored
 	unsavedAcks          map[*worker]ack
+	unsavedEnds          []reportedEnd // in the next batch
+	activity             Activity      // since it was last taken
 	nextTick             time.Time
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]time.Time // expiry of partial reservations, by step
@@ -96,7 +98,8 @@
 	placements     map[int]map[int]*stepPlacement // by round and step
 	runs           map[TaskID]*run                // runs that are not known to have ended
 	objectiveMs    int64
-	blockedUntil   time.Time // no start before; the retry pause after a refused start
+	blockedUntil   time.Time                // no start before; the retry pause after a refused start
+	startable      map[stepKey]stepProgress // steps of open rounds that have become startable
 }
 
 // New returns the engine of a leader whose term begins now. The engine has no
@@ -142,6 +145,7 @@
 				}
 			}
 		}
+		e.noteStartableSteps(now, j, r)
 	}
 	if !j.State.Final() || len(j.runs) > 0 {
 		e.liveJobs[j] = true
@@ -224,6 +228,7 @@
 func (e *Engine) discardProgress(j *job) {
 	j.Progress.Rounds = nil
 	j.placements = nil
+	j.startable = nil
 	e.unsavedJobs[j] = true
 	delete(e.liveJobs, j)
 }
@@ -259,7 +264,9 @@
 // at once.
 func (e *Engine) openDueRounds(now time.Time, j *job) {
 	for j.NextRound < j.Spec.RoundCount() && now.UnixMilli() >= j.EarliestStartMs(j.NextRound) && j.MayBeginRound(len(j.Progress.Rounds)) {
-		j.Progress.Rounds = append(j.Progress.Rounds, flow.NewRound(j.Spec, j.NextRound))
+		r := flow.NewRound(j.Spec, j.NextRound)
+		j.Progress.Rounds = append(j.Progress.Rounds, r)
+		e.noteStartableSteps(now, j, r)
 		j.NextRound++
 		e.pendingJobs[j] = true
 	}
@@ -298,8 +305,8 @@
 // batch must be passed to HandleCommit once it is stored; if it can't be
 // stored, the engine must be discarded.
 func (e *Engine) Batch() *Batch {
-	b := &Batch{starts: e.unsavedStarts, acks: e.unsavedAcks}
-	e.unsavedStarts, e.unsavedAcks = nil, map[*worker]ack{}
+	b := &Batch{starts: e.unsavedStarts, acks: e.unsavedAcks, ends: e.unsavedEnds}
+	e.unsavedStarts, e.unsavedAcks, e.unsavedEnds = nil, map[*worker]ack{}, nil
 	for j := range e.unsavedJobs {
 		b.Changes = append(b.Changes, Change{Job: j.ID, Data: flow.EncodeProgress(nil, &j.Progress)})
 		if j.publishedState != j.State {
@@ -319,6 +326,7 @@
 // HandleCommit handles a batch that has been stored: its starts are sent, and
 // its ends are acknowledged by polls that are due at once.
 func (e *Engine) HandleCommit(now time.Time, b *Batch) {
+	e.recordCommittedEnds(now, b)
 	for w, a := range b.acks {
 		if w.lastIncarnation == a.incarnation {
 			w.ackedEnd = max(w.ackedEnd, a.lastEnd)
--- a/internal/state/sched/output.go
+++ b/internal/state/sched/output.go
@@ -44,6 +44,8 @@
 	Workers      []string
 	ReplyTimeout time.Duration // timeout of the call, including its wait at the instance
 	Quick        bool          // a quick query, which is sent before waiting long ones
+	Queue        string        // of the job
+	SentAt       time.Time     // when the engine emitted it
 }
 
 // Change is the new progress of a job to store, or the removal of the job.
@@ -85,6 +87,7 @@
 	Changes      []Change
 	starts       []*run
 	acks         map[*worker]ack
+	ends         []reportedEnd
 	stateChanges []stateChange
 }
 
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -273,6 +273,7 @@
 			t.Phase, t.Run, t.Worker, t.Incarnation = flow.Placed, runNumber+1, c.worker.ID, c.worker.lastIncarnation
 			r := e.newRun(p.now, ps.job, TaskID{ps.job.ID, ps.round.Number, ps.step, i}, t, c.worker)
 			if sp != nil {
+				e.recordTicketUse(ps.job.Queue, sp, c.worker)
 				r.ticket, r.ticketExpires = sp.tickets[c.worker.ID].value, sp.tickets[c.worker.ID].expires
 			}
 			e.unsavedStarts = append(e.unsavedStarts, r)
@@ -282,6 +283,7 @@
 		}
 	}
 	if placed > 0 {
+		e.recordPlacement(p.now, ps, placed)
 		e.releaseReservations(ps)
 		e.unsavedJobs[ps.job] = true
 	}
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -203,6 +203,7 @@
 func (e *Engine) handleEnd(now time.Time, r *run, end End) {
 	e.addEvent("ended", r.id, r.number, r.worker.ID, end.Kind.String(), now.Sub(r.placedAt))
 	j := r.job
+	e.noteEnd(now, j.Queue)
 	st := &j.Steps[r.id.Step]
 	if end.Checkpoint != "" && r.task.Phase == flow.Placed {
 		e.saveCheckpoint(r, end.Checkpoint)
@@ -250,6 +251,7 @@
 		}
 	}
 	delete(j.placements[round.Number], stepIfAllDone(round, r.id.Step))
+	e.noteTaskDone(now, j, round, r.id.Step)
 	if round.Unfinished > 0 {
 		return
 	}
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -204,6 +204,9 @@
 func (e *Engine) confirmRun(now time.Time, r *run) {
 	if !r.confirmed {
 		r.confirmed, r.startedAt = true, now
+		if !r.adopted {
+			e.recordLatency(r.job.Queue, LatencyConfirmation, now.Sub(r.placedAt))
+		}
 		r.worker.checkStallsBy(now.Add(overdueSlack))
 	}
 	if r.job.State == flow.Queued {
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -6,31 +6,46 @@
 type Stats struct {
 	Jobs             int // known jobs
 	LiveJobs         int // jobs that have not ended or still have runs
-	PendingSteps     int // steps with tasks that may start
+	PendingSteps     int // steps with tasks that may start, without those of jobs in a pause after a refused start
 	LatePendingSteps int // pending steps that are past their objective
-	// PendingStepsByQueue is the number of pending steps by queue, without queues
-	// that have none.
-	PendingStepsByQueue map[string]int
-	Runs                int     // runs that are not known to have ended
-	Stopping            int     // runs that are being stopped
-	Workers             int     // listed workers
-	Usable              int     // workers on which tasks may start
-	CPUUsed             float64 // share of the usable workers' CPU that runs use
-	QueriesInFlight     int     // queries to the placement service that are not answered yet
-	UnansweredStarts    int     // runs whose start was not answered
+	// Waiting describes the pending steps by queue, without queues that have
+	// none, and includes jobs in a pause after a refused start.
+	Waiting          map[string]*QueueWaiting
+	Runs             int // runs that are not known to have ended
+	Stopping         int // runs that are being stopped
+	Workers          int // listed workers
+	Usable           int // workers on which tasks may start
+	CPU              CPUShares
+	ReservingSteps   int // steps with unexpired reservations
+	QueriesInFlight  int // queries to the placement service that are not answered yet
+	Clients          int // healthy placement clients
+	LongQueryClients int // those of them that get long queries
+	UnansweredStarts int // runs whose start was not answered
+}
+
+// CPUShares are shares of the usable workers' CPU.
+type CPUShares struct {
+	Used        float64 // used by runs
+	Unconfirmed float64 // used by runs that are placed and whose workers have not confirmed them
+	Stopping    float64 // used by runs that are being stopped
+	Reserved    float64 // reserved for pending steps, also where runs still use it
+	// ReservedIdle is the part of Reserved that no run uses.
+	ReservedIdle float64
 }
 
 // Stats returns the figures as of now.
 func (e *Engine) Stats(now time.Time) Stats {
-	s := Stats{Jobs: len(e.jobs), LiveJobs: len(e.liveJobs), PendingStepsByQueue: map[string]int{}}
-	for _, ps := range e.pendingSteps(now) {
-		s.PendingSteps++
-		s.PendingStepsByQueue[ps.job.Queue]++
+	s := Stats{Jobs: len(e.jobs), LiveJobs: len(e.liveJobs)}
+	pending := e.pendingSteps(now)
+	s.PendingSteps = len(pending)
+	for _, ps := range pending {
 		if ps.lateness > 0 {
 			s.LatePendingSteps++
 		}
 	}
-	var used, capacity int64
+	s.Waiting = e.waitingByQueue(now, pending)
+	var sums cpuSums
+	reserving := map[TaskID]bool{}
 	for _, w := range e.workersByID {
 		s.Runs += len(w.runs)
 		for _, r := range w.runs {
@@ -46,15 +61,51 @@
 		}
 		if w.usable(now) {
 			s.Usable++
-			used += w.used.CPU
-			capacity += w.Capacity.CPU
+			sums.add(now, w, reserving)
 		}
 	}
-	if capacity > 0 {
-		s.CPUUsed = float64(used) / float64(capacity)
-	}
+	s.CPU, s.ReservingSteps = sums.shares(), len(reserving)
 	for _, c := range e.clients {
 		s.QueriesInFlight += len(c.inFlight)
+		if c.healthy {
+			s.Clients++
+		}
 	}
+	s.LongQueryClients = s.Clients - quickOnlyClients(s.Clients)
 	return s
 }
+
+// cpuSums are amounts of CPU of usable workers, in thousandths of a core.
+type cpuSums struct{ capacity, used, unconfirmed, stopping, reserved, reservedIdle int64 }
+
+// add adds the amounts of a worker, and the steps with reservations on it to
+// reserving.
+func (s *cpuSums) add(now time.Time, w *worker, reserving map[TaskID]bool) {
+	s.capacity += w.Capacity.CPU
+	s.used += w.used.CPU
+	for _, r := range w.runs {
+		switch {
+		case r.stopReason != "":
+			s.stopping += r.size.CPU
+		case !r.confirmed:
+			s.unconfirmed += r.size.CPU
+		}
+	}
+	var reserved int64
+	for _, res := range w.reservations {
+		if now.Before(res.expires) {
+			reserved += res.size.CPU
+			reserving[res.step] = true
+		}
+	}
+	s.reserved += reserved
+	s.reservedIdle += min(reserved, max(w.Capacity.CPU-w.used.CPU, 0))
+}
+
+func (s *cpuSums) shares() CPUShares {
+	if s.capacity == 0 {
+		return CPUShares{}
+	}
+	share := func(amount int64) float64 { return float64(amount) / float64(s.capacity) }
+	return CPUShares{Used: share(s.used), Unconfirmed: share(s.unconfirmed), Stopping: share(s.stopping), Reserved: share(s.reserved), ReservedIdle: share(s.reservedIdle)}
+}
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -52,6 +52,7 @@
 	querying       bool              // a query about the step is in flight
 	queriedAt      time.Time
 	queriedBy      *placementClient // client of the query in flight
+	purpose        QueryPurpose     // of the newest query
 	nextQuery      time.Time        // earliest time of the next query
 	reservedOn     []*worker        // workers with a reservation for the step
 	nextPreemption time.Time        // earliest time of the next preemption for the step
@@ -62,6 +63,7 @@
 	value       string
 	incarnation int64 // of the worker when the ticket arrived
 	expires     time.Time
+	used        bool // a task has been placed with it
 }
 
 // placementClient is an instance that queries the placement service for the
@@ -124,7 +126,7 @@
 	}
 	wait := maxQuickQueryWait
 	if duration > maxQuickQuery {
-		healthy, wait = healthy[(len(healthy)+1)/3:], maxLongQueryWait
+		healthy, wait = healthy[quickOnlyClients(len(healthy)):], maxLongQueryWait
 	}
 	var best *placementClient
 	for _, c := range healthy {
@@ -138,6 +140,9 @@
 	return best
 }
 
+// quickOnlyClients returns how many of the healthy clients get no long queries.
+func quickOnlyClients(healthy int) int { return (healthy + 1) / 3 }
+
 // query emits a query about a step and the named workers, and reports whether
 // it did. It does not while a query about the step is in flight, during the
 // pause after a failed one, or while every client is busy for too long.
@@ -157,9 +162,10 @@
 	c.busyUntil = c.busyUntil.Add(duration)
 	c.inFlight[sp] = true
 	sp.querying, sp.queriedAt, sp.queriedBy = true, now, c
+	sp.purpose = e.recordQuery(j.Queue, sp, workers, duration)
 	e.output.Queries = append(e.output.Queries, PlacementQuery{
 		Client: c.name, Job: j.ID, Round: round, Step: step, Workers: workers, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
-		Quick: duration <= maxQuickQuery,
+		Quick: duration <= maxQuickQuery, Queue: j.Queue, SentAt: now,
 	})
 	return true
 }
@@ -184,6 +190,7 @@
 // valid is how long the tickets are valid from now. ok is false if there was no
 // answer.
 func (e *Engine) HandleQueryResult(now time.Time, q PlacementQuery, tickets map[string]string, valid time.Duration, ok bool) {
+	e.recordQueryResult(now, &q, tickets, ok)
 	j := e.jobs[q.Job]
 	if j == nil || j.placements == nil || j.placements[q.Round] == nil || j.placements[q.Round][q.Step] == nil {
 		e.recordClientResult(now, q.Client, nil, ok)
