state/sched: TestJobsCompleteWithSkewedClocks has skewed clocks

Cause: the simulation overwrote the time at which a job was accepted, and the jobs had no objective, so that the engine would not have looked at that time. Change: submit keeps a time that is set, the jobs have the stretch and slack of the simulated queues, and the test checks the lateness that the skew causes. The checks at its end are the same.

--- a/internal/state/sched/engine_test.go
+++ b/internal/state/sched/engine_test.go
@@ -193,21 +193,27 @@
 
 // TestJobsCompleteWithSkewedClocks checks that jobs accepted by instances whose
 // clocks are off by seconds, either way, run their steps in order and complete.
-//
-// TODO: sim.submit sets AcceptedMs to the simulated time, so the offsets set
-// here have no effect.
+// A clock that is slow makes the leader take its jobs to be late.
 func TestJobsCompleteWithSkewedClocks(t *testing.T) {
 	is := is.New(t)
 	s := newSim(t, 11, 6)
 	s.run(time.Second)
-	for i, offsetMs := range []int64{-6000, 0, 6000, -2400, 2400} {
+	skews := []struct {
+		offsetMs int64
+		lateness int
+	}{{-6000, 2}, {0, 0}, {6000, 0}, {-2400, 1}, {2400, 0}}
+	for i, skew := range skews {
 		j := newJobSpec(fmt.Sprintf("a%d", i), "q2", taskStep(3, 1000, 200), withDependencies(taskStep(2, 1000, 100), 0))
-		j.AcceptedMs = s.now.UnixMilli() + offsetMs
+		j.Policy.Stretch, j.Policy.SlackMs = 2, 1000
+		j.AcceptedMs = s.now.UnixMilli() + skew.offsetMs
 		s.submit(j)
+		is.Equal(latenessOf(s.now, s.engine.jobs[j.ID], &flow.Round{}), skew.lateness)
 		repeating := newJobSpec(fmt.Sprintf("r%d", i), "q2", taskStep(1, 1000, 100))
-		repeating.AcceptedMs = s.now.UnixMilli() + offsetMs
+		repeating.Policy.Stretch, repeating.Policy.SlackMs = 2, 1000
+		repeating.AcceptedMs = s.now.UnixMilli() + skew.offsetMs
 		repeating.Repeat = flow.Repeat{Times: 3, FirstStartMs: s.now.UnixMilli() + 500, IntervalMs: 400}
 		s.submit(repeating)
+		is.Equal(repeating.AcceptedMs, s.now.UnixMilli()+skew.offsetMs)
 	}
 	s.run(10 * time.Second)
 	is.Equal(s.violations, nil)
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -237,8 +237,12 @@
 	s.engine.SetWorkers(s.now, list)
 }
 
+// submit submits a job. It is accepted at the simulated time unless the job has
+// a time already, which may be that of a skewed clock.
 func (s *sim) submit(spec *flow.Spec) {
-	spec.AcceptedMs = s.now.UnixMilli()
+	if spec.AcceptedMs == 0 {
+		spec.AcceptedMs = s.now.UnixMilli()
+	}
 	if err := spec.Check(); err != nil {
 		s.t.Fatal(err)
 	}
