command/oper: -h prints the title once

Cause: the usage function wrote the title to the command's output even while the flag package printed to one that is discarded. Change: it writes to the output of the flag set. After a wrong flag the title is no longer printed either; the error stays.

--- a/internal/command/oper/flags.go
+++ b/internal/command/oper/flags.go
@@ -15,7 +15,7 @@
 	f := flag.NewFlagSet(name, flag.ContinueOnError)
 	f.SetOutput(io.Out)
 	f.Usage = func() {
-		fmt.Fprintf(io.Out, "tamaracklink %s: %s\n\n", name, summary)
+		fmt.Fprintf(f.Output(), "tamaracklink %s: %s\n\n", name, summary)
 		f.PrintDefaults()
 	}
 	return f
