command/oper: errors of submit name the job

Cause: without -id the command draws an ID, and when no reply came it did not print it, so that the caller could not repeat the call. Change: errors name the job, as those of patch name the patch.

Run: TestSubmitWithoutReplyPrintsID failed before the change. gofmt, go vet, staticcheck, go test ./... clean.

--- a/internal/command/oper/command_test.go
+++ b/internal/command/oper/command_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -27,3 +29,26 @@
 		})
 	}
 }
+
+// unreachableAddr returns an address on which nothing listens at the time of
+// the call.
+func unreachableAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func TestSubmitWithoutReplyPrintsID(t *testing.T) {
+	is := is.New(t)
+	addr := unreachableAddr(t)
+	code, _, stderr := runMain("submit", "-addr", addr, "-tenant", "red", "-run", "10")
+	is.Equal(code, ExitOutcomeUnknown)
+	is.True(regexp.MustCompile(`job job-[0-9a-f]{16}: `).MatchString(stderr)) // the drawn ID
+	code, _, stderr = runMain("submit", "-addr", addr, "-tenant", "red", "-run", "10", "-id", "own")
+	is.Equal(code, ExitOutcomeUnknown)
+	is.True(strings.Contains(stderr, "job own: "))
+}
--- a/internal/command/oper/submit.go
+++ b/internal/command/oper/submit.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/url"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -54,8 +56,11 @@
 	}
 	var v jobView
 	printed, err := c.do(ctx, http.MethodPost, "/v1/jobs"+domainQuery(*domain), spec, &v)
-	if err != nil || printed {
-		return err
+	if err != nil {
+		return errors.Wrapf(err, "job %s", spec.ID)
+	}
+	if printed {
+		return nil
 	}
 	fmt.Fprintf(io.Out, "accepted: job %s is %s\n", spec.ID, v.State)
 	return nil
