transport/server: marking an unknown member dead is refused

Cause: members -dead of a member that the domain does not have appended a record without effect and exited with 0, so that a mistyped member looked done. As with cancel, the instance asked decides by what it has read of the log; when it refuses, nothing was appended. Ruled out: refusing after the append, because the wait for its effect ends at once for an unknown member and so tells no more.

--- a/internal/command/oper/command_test.go
+++ b/internal/command/oper/command_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strings"
 	"testing"
@@ -52,3 +55,15 @@
 	is.Equal(code, ExitOutcomeUnknown)
 	is.True(strings.Contains(stderr, "job own: "))
 }
+
+func TestUnknownMemberIsRefused(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = io.WriteString(w, `{"code":"not-found","step":"bury member","peer":"x","errors":["no member \"e9\" in domain sfax"]}`)
+	}))
+	defer srv.Close()
+	code, _, stderr := runMain("members", "-addr", srv.Listener.Addr().String(), "-dead", "e9", "-operator", "amal")
+	is.Equal(code, ExitRefused)
+	is.True(strings.Contains(stderr, `no member "e9" in domain sfax`))
+}
--- a/internal/coordination/leader/submit.go
+++ b/internal/coordination/leader/submit.go
@@ -22,6 +22,10 @@
 // ErrJobNotFound is returned by Cancel when the domain has no job with the ID.
 var ErrJobNotFound = errors.New("no such job")
 
+// ErrMemberNotFound is returned by MarkMemberDead when the domain has no member
+// with the ID.
+var ErrMemberNotFound = errors.New("no such member")
+
 // Submit appends a job to the log and returns once it has taken effect. It
 // returns ErrJobExists, or the errors of the specification, if the job is not
 // accepted. After any other error it is unknown whether the job is accepted;
@@ -82,8 +86,12 @@
 }
 
 // MarkMemberDead records that, as an operator has asserted, a member's process
-// has ended. It returns once the record has taken effect.
+// has ended. It returns once the record has taken effect. It returns
+// ErrMemberNotFound for an unknown member and nil for one that is dead already.
 func (d *Domain) MarkMemberDead(ctx context.Context, id, by string) error {
+	if _, ok := d.Members()[id]; !ok {
+		return ErrMemberNotFound
+	}
 	r := work.Record{MarkDead: &work.MarkDead{Member: id, By: by, AtMs: d.cfg.Now().UnixMilli()}}
 	err := d.appendUntil(ctx, r, func() bool {
 		d.mu.Lock()
--- a/internal/transport/server/operators.go
+++ b/internal/transport/server/operators.go
@@ -343,7 +343,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), operatorTimeout)
 	defer cancel()
-	if err := i.domain.MarkMemberDead(ctx, req.Member, req.By); err != nil {
+	err := i.domain.MarkMemberDead(ctx, req.Member, req.By)
+	if errors.Is(err, leader.ErrMemberNotFound) {
+		writeOperatorError(w, http.StatusNotFound, codeNotFound, "bury member", r.RemoteAddr, errors.Errorf("no member %q in domain %s", errs.Shorten(req.Member), i.settings.Domain))
+		return
+	}
+	if err != nil {
 		writeOperatorError(w, http.StatusServiceUnavailable, codeOutcomeUnknown, "bury member", i.settings.Platform, err)
 		return
 	}
