command/oper: patch -undo exits with 1 when the instance is away

Cause: every error of reading the change, also a failed call for the history, got the exit code of wrong usage. Change: each error carries its own code; a file that can't be read, an invalid patch and a version that is not in the history exit with 2 as before.

Run: TestPatchExitCodes failed before the change for the unreachable instance. gofmt, go vet, staticcheck, go test ./... clean.

--- a/internal/command/oper/command_test.go
+++ b/internal/command/oper/command_test.go
@@ -67,3 +67,31 @@
 	is.Equal(code, ExitRefused)
 	is.True(strings.Contains(stderr, `no member "e9" in domain sfax`))
 }
+
+func TestPatchExitCodes(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"changes":[]}`)
+	}))
+	defer srv.Close()
+	tests := []struct {
+		name, addr string
+		code       int
+		want       string
+	}{
+		{"unreachable instance", unreachableAddr(t), ExitFailed, "connection refused"},
+		{"unknown version", srv.Listener.Addr().String(), ExitUsage, "version 7 is not in the history"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			code, _, stderr := runMain("patch", "-addr", tt.addr, "-undo", "7", "-base", "7", "-operator", "amal")
+			is.Equal(code, tt.code)
+			is.True(strings.Contains(stderr, tt.want))
+		})
+	}
+	t.Run("missing file", func(t *testing.T) {
+		is := is.New(t)
+		code, _, _ := runMain("patch", "-file", t.TempDir()+"/none", "-base", "0", "-operator", "amal")
+		is.Equal(code, ExitUsage)
+	})
+}
--- a/internal/command/oper/patch.go
+++ b/internal/command/oper/patch.go
@@ -32,7 +32,7 @@
 	}
 	change, err := readChange(ctx, c, *file, *undo)
 	if err != nil {
-		return usageError(err)
+		return err
 	}
 	if *base < 0 || c.operator == "" {
 		return usageError(errors.New("-base VERSION and -operator NAME are needed; tamaracklink config prints the newest version"))
@@ -52,15 +52,19 @@
 	return nil
 }
 
+// readChange returns the patch to submit. Its errors carry the exit code.
 func readChange(ctx context.Context, c *call, file string, undo uint64) ([]byte, error) {
 	if undo > 0 {
 		return fetchReverse(ctx, c, undo)
 	}
 	data, err := readInput(c.io.In, file)
 	if err != nil {
-		return nil, err
+		return nil, usageError(err)
+	}
+	if err := strict.Check(data); err != nil {
+		return nil, usageError(errs.At("read patch", file, err))
 	}
-	return data, errs.At("read patch", file, strict.Check(data))
+	return data, nil
 }
 
 func readInput(in io.Reader, file string) ([]byte, error) {
@@ -83,7 +87,7 @@
 			return ch.Inverse, nil
 		}
 	}
-	return nil, errors.Errorf("version %d is not in the history that the instance keeps", version)
+	return nil, usageError(errors.Errorf("version %d is not in the history that the instance keeps", version))
 }
 
 func randomID() string {
