command/oper: site -log-level names the allowed levels

Cause: an unknown level was answered with the logging library's text, which says that a default is used, although the command ends. The library also took levels such as trace and 3, which the help does not name. Change: the error names the flag, the value and the four levels, and only these are accepted, as with serve.

--- a/internal/command/oper/command_test.go
+++ b/internal/command/oper/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -95,3 +96,23 @@
 		is.Equal(code, ExitUsage)
 	})
 }
+
+func TestSiteNamesAllowedLogLevels(t *testing.T) {
+	for _, level := range []string{"loud", "trace", "3", "debug info"} {
+		t.Run(level, func(t *testing.T) {
+			is := is.New(t)
+			code, stdout, stderr := runMain("site", "-log-level", level)
+			is.Equal(code, ExitUsage)
+			is.Equal(stdout, "")
+			is.Equal(stderr, fmt.Sprintf("tamaracklink site: read flags (peer operator): log-level: value %q: allowed: debug, info, warn or error\n", level))
+		})
+	}
+	for _, level := range []string{"debug", "info", "warn", "error"} {
+		t.Run(level, func(t *testing.T) {
+			is := is.New(t)
+			code, _, stderr := runMain("site", "-log-level", level)
+			is.Equal(code, ExitUsage)
+			is.True(strings.Contains(stderr, "must name the settings file")) // the next check
+		})
+	}
+}
--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	"github.com/tamaracklink/tamaracklink/platform"
 )
 
+const logLevels = "debug, info, warn or error"
+
 // Memory limits and time limits of an instance on the platform.
 const (
 	// gcPercent makes the garbage collector run more often than by default. That
@@ -51,14 +54,14 @@
 // runSite runs an instance on the users' platform until ctx ends.
 func runSite(ctx context.Context, args []string, io IO) error {
 	flags := newFlags("site", "run an instance on the platform until SIGTERM, configured by the settings file that "+platform.SettingsEnv+" names", io)
-	level := flags.String("log-level", "info", "debug, info, warn or error")
+	level := flags.String("log-level", "info", logLevels)
 	port := flags.Int("metrics-port", 9464, "`port` of the metrics page on the instance's address; deploy/system.toml names the same")
 	if err := flags.Parse(args); err != nil {
 		return usageError(err)
 	}
 	parsedLevel, err := zerolog.ParseLevel(*level)
-	if err != nil {
-		return usageError(err)
+	if err != nil || !slices.Contains([]string{"debug", "info", "warn", "error"}, *level) {
+		return usageError(&errs.Error{Step: "read flags", Peer: "operator", Path: "log-level", Value: *level, Allowed: logLevels})
 	}
 	path := lookupEnv(io.Env, platform.SettingsEnv)
 	if path == "" {
