transport/server: log lines name the instance once

Cause: the line "server: serving" added the instance to a logger that has it already, from serve as from the simulated cell. Change: the line leaves it to the logger. Simulations can write their logs to a test's buffer.

--- a/internal/testing/world/world.go
+++ b/internal/testing/world/world.go
@@ -51,6 +51,7 @@
 	Capacity        work.Size                // capacity of each worker; zero means 32 cores and 64 GiB
 	RetainedRecords int                      // number of records that each stream retains; 0 means 100000
 	ChangeSettings  func(s *server.Settings) // changes the instances' settings; may be nil
+	Log             io.Writer                // receives the instances' logs; may be nil
 }
 
 // Run calls body with a cell in virtual time whose domains have leaders and
@@ -89,8 +90,15 @@
 		cfg.Capacity = work.Size{CPU: 32000, Memory: 64 << 10}
 	}
 	logger := zerolog.Nop()
+	var outputs []io.Writer
 	if *showLogs {
-		logger = zerolog.New(os.Stderr).With().Timestamp().Logger()
+		outputs = append(outputs, os.Stderr)
+	}
+	if cfg.Log != nil {
+		outputs = append(outputs, cfg.Log)
+	}
+	if len(outputs) > 0 {
+		logger = zerolog.New(zerolog.SyncWriter(io.MultiWriter(outputs...))).With().Timestamp().Logger()
 	}
 	c, err := cell.Start(cell.Config{
 		Domains: cfg.Domains, Instances: cfg.Instances, Workers: cfg.Workers, Minions: cfg.Minions, Capacity: cfg.Capacity, ListLag: time.Second,
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -47,7 +47,7 @@
 	// log. Calls to the store go through h. It must be set.
 	OpenStore func(addr string, h *http.Client) func(stream string) ledger.Log
 	Now       func() time.Time
-	Logger    zerolog.Logger
+	Logger    zerolog.Logger // has the field "instance"
 }
 
 func (e Env) withDefaults() Env {
@@ -227,7 +227,7 @@
 	wg.Go(func() { i.router.Run(runCtx) })
 	serveErr := make(chan error, 1)
 	wg.Go(func() { serveErr <- httpServer.Serve(i.listener) })
-	i.logger.Info().Str("instance", i.settings.Instance).Str("domain", i.settings.Domain).Str("addr", i.addr).Msg("server: serving")
+	i.logger.Info().Str("domain", i.settings.Domain).Str("addr", i.addr).Msg("server: serving")
 	var err error
 	select {
 	case err = <-serveErr:
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -95,3 +96,28 @@
 	s.Instance, s.Domain, s.Listen, s.Platform = "e1", "sfax", "10.0.0.1:7070", "10.0.0.2:7000"
 	is.NoErr(s.Check())
 }
+
+// TestLogLinesNameEachFieldOnce guards against a field that a log line has twice,
+// of which a reader of JSON sees only one.
+func TestLogLinesNameEachFieldOnce(t *testing.T) {
+	var log bytes.Buffer
+	world.Run(t, world.Config{Domains: []string{"sfax"}, Instances: 2, Minions: 1, Log: &log}, func(*world.Simulation) {})
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	serving := 0
+	for _, line := range lines {
+		if strings.Contains(line, "server: serving") {
+			serving++
+		}
+		names := map[string]bool{}
+		for _, m := range fieldName.FindAllStringSubmatch(line, -1) {
+			if names[m[1]] {
+				t.Errorf("field %q twice in log line %s", m[1], line)
+			}
+			names[m[1]] = true
+		}
+	}
+	is.New(t).Equal(serving, 2)
+}
+
+// fieldName matches the name of a field in a flat JSON object.
+var fieldName = regexp.MustCompile(`[{,]"([^"\\]+)":`)
