standin/wire: DecodeRecords rejects a record of length 0

Cause: a record of length 0 followed by other bytes was read beyond its end, and the panic ended the call without an answer. Change: it is an error, as at the end of the body, where it was reported as truncated.

--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -115,14 +115,17 @@
 
 // DecodeRecords decodes the body of an append. Each record has a length of 4
 // bytes, which covers the rest, a key length of 1 byte, the key and the value.
-// It returns an error for a truncated record or key.
+// It returns an error for a truncated or empty record or a truncated key.
 func DecodeRecords(b []byte) ([]ledger.Record, error) {
 	var out []ledger.Record
 	for len(b) > 0 {
-		if len(b) < 5 || int(binary.BigEndian.Uint32(b)) > len(b)-4 {
+		if len(b) < 4 || int(binary.BigEndian.Uint32(b)) > len(b)-4 {
 			return nil, errors.New("record is truncated")
 		}
 		n := int(binary.BigEndian.Uint32(b))
+		if n == 0 {
+			return nil, errors.New("record has no key length")
+		}
 		body := b[4 : 4+n]
 		k := int(body[0])
 		if k >= n {
