state/sched: skip workers that are gone when a batch is stored

It answered from the configuration that a change at 18.0 s had replaced (CONFIG 9) and stayed ready for the balancer.

Cause: HandleCommit makes each worker whose ends were stored due for its next check. If the worker was removed between Batch and HandleCommit, because its entry had expired and nothing ran on it, it is no longer in the queue of checks and its index there is stale: "index out of range [40] with length 38" in heap.Fix. The panic ended the loop of the instance and its readers.

Ruled out: a change of the configuration that was not read (the instance logged nothing from its loop, its reader or its intake after 13.3 s), a held lock (the trial prints the stack), load (the instance used less than a tenth of a core).

The fix is enough because runs and polls keep a worker from being removed, so that acknowledgements are the only reference that outlives it.

--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -317,9 +317,13 @@
 }
 
 // HandleCommit handles a batch that has been stored: its starts are sent, and
-// its ends are acknowledged by polls that are due at once.
+// its ends are acknowledged by polls that are due at once. Ends of workers that
+// have been removed since are not acknowledged.
 func (e *Engine) HandleCommit(now time.Time, b *Batch) {
 	for w, a := range b.acks {
+		if e.workers[w.ID] != w {
+			continue // removed since
+		}
 		if w.lastIncarnation == a.incarnation {
 			w.ackedEnd = max(w.ackedEnd, a.lastEnd)
 		}
