core, oper: a panic ends the process instead of one part of it

Cause: conc.WaitGroup keeps the panic of a goroutine until Wait, and Wait was only called at a graceful shutdown. That held for the core as a whole in the site command, and in the core for its reader, the reader of the configuration, the intake and every call of the leader.

Now a goroutine of the core that panics ends the context of the core, Run waits for the rest and panics, and the site command closes its listeners and panics with the trace of the first panic; the platform then starts the process again.

Orders to relay may arrive before Run, so the context that they use is made in New; before, they met a nil context and the panic was kept as well.

Ruled out: going on with the loop started again, since the state that the panic left is not known.

The groups of the serve command (entry, leader, member, stream, server) have the same gap and are left.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -179,7 +179,11 @@
 	s.logger.Info().Str("domain", s.settings.Domain).Dur("lease-max", s.settings.Params.MaxLease).Msg("site: started")
 	coreCtx, stopCore := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopCore()
-	group.Go(func() { s.core.Run(coreCtx) })
+	coreEnded := make(chan struct{})
+	group.Go(func() {
+		defer close(coreEnded)
+		s.core.Run(coreCtx)
+	})
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	for running := true; running; {
@@ -188,6 +192,11 @@
 			running = false
 		case <-hup:
 			s.reload(path)
+		case <-coreEnded:
+			// The core has panicked, and Wait panics in turn. Without the core this
+			// instance would go on to take calls, but carry none out.
+			s.closeListeners()
+			group.Wait()
 		}
 	}
 	s.stop(stopCore)
@@ -207,6 +216,12 @@
 	s.logger.Info().Bool("changed", settings != s.settings).Msg("site: settings read again")
 }
 
+func (s *siteInstance) closeListeners() {
+	for _, srv := range s.servers {
+		_ = srv.Close() // the error does not matter: its connections end with the process
+	}
+}
+
 // stop shuts the instance down gracefully: it resigns as leader, still serves
 // while callers move to other instances, and then closes the listeners.
 func (s *siteInstance) stop(stopCore func()) {
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -88,8 +88,8 @@
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
 
-	// The fields below belong to the loop. Other goroutines use calls and ctx,
-	// which are set before the loop starts.
+	// The fields below belong to the loop. Other goroutines use calls, ctx and
+	// stop, which do not change.
 	jobs           map[string]*flow.Job      // by ID
 	members        map[string]instanceRecord // by instance name
 	earlyCancels   map[string]bool           // jobs cancelled before their spec has been read
@@ -105,7 +105,8 @@
 	lastStatsAt    time.Time
 	decisionDue    bool // something has changed since the last decisions
 	calls          *conc.WaitGroup
-	ctx            context.Context
+	ctx            context.Context    // done when Run has to end
+	stop           context.CancelFunc // ends ctx
 }
 
 // New returns a Core, which does nothing until Run is called.
@@ -114,6 +115,7 @@
 		settings: settings, index: flow.NewIndex(), events: make(chan func(time.Time), 1024), done: make(chan struct{}),
 		jobs: map[string]*flow.Job{}, members: map[string]instanceRecord{}, earlyCancels: map[string]bool{}, completeOffset: -1, calls: conc.NewWaitGroup(),
 	}
+	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.election.lastContact = settings.Now()
 	c.intake = intake.New(intake.Settings{
 		Log: settings.Log, Name: "intake/" + settings.Instance + "/" + settings.Incarnation, Now: settings.Now,
@@ -161,23 +163,41 @@
 	}
 }
 
-// Run runs the instance until ctx is done. It must be called once.
+// Run runs the instance until ctx is done. It must be called once. If any of
+// the instance's goroutines panics, Run ends the others and panics too.
 func (c *Core) Run(ctx context.Context) {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	c.ctx = ctx
-	wg := conc.NewWaitGroup()
-	wg.Go(func() { c.intake.Run(ctx) })
-	wg.Go(func() { c.reader.Run(ctx) })
-	wg.Go(func() { c.configReader.Run(ctx) })
-	wg.Go(func() { c.register(ctx) })
-	c.loop(ctx)
-	close(c.done)
-	stop()
-	wg.Wait()
+	defer c.stop()
+	defer context.AfterFunc(ctx, c.stop)()
+	ctx = c.ctx
+	parts := conc.NewWaitGroup()
+	c.spawn(parts, func() { c.intake.Run(ctx) })
+	c.spawn(parts, func() { c.reader.Run(ctx) })
+	c.spawn(parts, func() { c.configReader.Run(ctx) })
+	c.spawn(parts, func() { c.register(ctx) })
+	c.spawn(parts, func() {
+		defer close(c.done)
+		c.loop(ctx)
+	})
+	<-ctx.Done()
+	parts.Wait()
 	c.calls.Wait()
 }
 
+// spawn runs f in a goroutine of the group. If f panics, it ends Run, which
+// waits for the group: until then the group keeps the panic to itself.
+func (c *Core) spawn(group *conc.WaitGroup, f func()) {
+	group.Go(func() {
+		returned := false
+		defer func() {
+			if !returned {
+				c.stop()
+			}
+		}()
+		f()
+		returned = true
+	})
+}
+
 // loopInterval is the longest time between two passes of the loop.
 const loopInterval = 40 * time.Millisecond
 
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -125,7 +125,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	a.cancel = cancel
 	w, sentAt, term, resigned := a.writer, c.settings.Uptime(), c.election.term, a.resigned
-	c.calls.Go(func() {
+	c.spawn(c.calls, func() {
 		defer cancel()
 		_, err := w.Append(ctx, records)
 		c.post(func(now time.Time) { c.applyAppendResult(now, b, records, err, sentAt, term, resigned) })
@@ -192,7 +192,7 @@
 	w := c.appending.writer
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.appending.cancel = cancel
-	c.calls.Go(func() {
+	c.spawn(c.calls, func() {
 		defer cancel()
 		select {
 		case <-time.After(appendRetryPause):
@@ -212,7 +212,7 @@
 		return
 	}
 	l.busy, l.nextAt = true, now.Add(listInterval)
-	c.calls.Go(func() {
+	c.spawn(c.calls, func() {
 		ctx, cancel := context.WithTimeout(c.ctx, listTimeout)
 		defer cancel()
 		list, err := c.settings.Workers.List(ctx)
@@ -267,14 +267,14 @@
 			batches[name] = append(batches[name], c.trackOrder(now, name, o))
 			continue
 		}
-		c.calls.Go(func() { c.sendOrder(o, term) })
+		c.spawn(c.calls, func() { c.sendOrder(o, term) })
 	}
 	c.sendToRelays(now, batches)
 	for _, q := range out.Queries {
-		c.calls.Go(func() { c.sendPlacementQuery(q, term) })
+		c.spawn(c.calls, func() { c.sendPlacementQuery(q, term) })
 	}
 	for _, name := range out.Probes {
-		c.calls.Go(func() { c.probePlacementClient(name, term) })
+		c.spawn(c.calls, func() { c.probePlacementClient(name, term) })
 	}
 }
 
--- a/internal/coordination/core/machine.go
+++ b/internal/coordination/core/machine.go
@@ -72,7 +72,7 @@
 	e.transferAttempts++
 	name := names[e.transferAttempts%len(names)]
 	addr, term := c.members[name].Addr, e.term
-	c.calls.Go(func() {
+	c.spawn(c.calls, func() {
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
 		if !c.settings.Peers.Ready(ctx, addr) {
