--- /dev/null
+++ b/internal/state/sched/backlog_test.go
@@ -0,0 +1,65 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// TestPassEvaluatesBoundedSteps guards against a pass whose cost grows with the
+// backlog: a leader that evaluates each of a thousand waiting steps in each pass
+// has no time left for anything else. Later passes must reach all steps.
+func TestPassEvaluatesBoundedSteps(t *testing.T) {
+	is := is.New(t)
+	const jobs = 1000
+	e := readyEngine(t, 48, flow.PlacementService{CallMs: 0.01, TicketValidMs: 2000})
+	for i := range jobs {
+		e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", taskStep(1, 1000, 400))})
+	}
+	queried := map[string]bool{}
+	for pass := range jobs/maxStepsPerPass + 1 {
+		e.Schedule(testTime(10 * pass))
+		queries := e.TakeOutput().Queries
+		is.True(len(queries) <= maxStepsPerPass)
+		for _, q := range queries {
+			queried[q.Job] = true
+		}
+	}
+	is.Equal(len(queried), jobs)
+}
+
+// TestQuickQueriesDoNotWaitBehindLongOnes checks that a backlog of long queries
+// is not handed to the placement clients at once, and leaves one of them free
+// for quick queries. Otherwise short jobs would wait for seconds behind tickets
+// that expire before they can be used.
+func TestQuickQueriesDoNotWaitBehindLongOnes(t *testing.T) {
+	is := is.New(t)
+	long := flow.PlacementService{CallMs: 400, PerWorkerMs: 4, TicketValidMs: 2000}
+	quick := flow.PlacementService{CallMs: 5, PerWorkerMs: 0.1, TicketValidMs: 2000}
+	now := testTime(0)
+	e := readyEngine(t, 48, long)
+	e.HandleProbeResult(now, "i1", true)
+	e.HandleProbeResult(now, "i2", true)
+	for i := range 30 {
+		e.AddJob(now, &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", taskStep(1, 1000, 400))})
+	}
+	e.Schedule(now)
+	clients := map[string]int{}
+	for _, q := range e.TakeOutput().Queries {
+		is.True(!q.Quick)
+		clients[q.Client]++
+	}
+	is.True(len(clients) > 0)
+	for _, n := range clients {
+		is.Equal(n, 1)
+	}
+	e.AddJob(now, &flow.Job{Spec: newJobSpec("b", "q", taskStep(1, 1000, 400))})
+	is.True(e.query(now, e.jobs["b"], 0, 0, quick, []string{"w00"}))
+	queries := e.TakeOutput().Queries
+	is.Equal(len(queries), 1)
+	is.True(queries[0].Quick)
+	is.Equal(clients[queries[0].Client], 0)
+}
