oper, docs: return after the core has ended; describe the end by a panic

The loop of the site command would spin if the core ever returned without a panic and before its context. No such case is known. DESIGN and OPERATIONS say what a panic does now.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -197,6 +198,7 @@
 			// instance would go on to take calls, but carry none out.
 			s.closeListeners()
 			group.Wait()
+			return errors.New("the core has ended unexpectedly")
 		}
 	}
 	s.stop(stopCore)
