coordination/core: drop removed jobs when the ledger is loaded again

Seen by callers: an ended job could run once more, minutes later, and its state stayed known at one instance for good. The workers see a second start of a task whose end was taken note of (TWICE).

Cause: a leader that steps down forgets the progress of all jobs and loads the newest record of each key. A job that the next leader has removed meanwhile is not among them, but it remained in Core.jobs, now without progress. When the instance led again, Engine.AddJob took the job for a new one.

Change: a load drops the known jobs whose spec it does not contain. That is safe, because every job in Core.jobs was read from the ledger before the load began: a spec that is stored throughout the load is in one of its pages.

Ruled out: that Status answers ErrJobNotFound for a job that is stored. A job that is only in the index, because this instance has just stored it, is not touched; for any other one Status first reads the ledger to its end.

--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -19,6 +19,7 @@
 	if b.Reset {
 		c.completeOffset = b.CompleteOffset
 		clear(c.earlyCancels)
+		c.dropRemovedJobs(b.Records)
 		c.settings.Logger.Info().Int("records", len(b.Records)).Int64("next", b.NextOffset).Msg("ledger: loaded the newest record of each key")
 	}
 	for _, r := range b.Records {
@@ -33,6 +34,29 @@
 	}
 }
 
+// dropRemovedJobs drops the known jobs of which loaded, the newest record of each
+// key, contains no spec. They were removed by records that this instance has not
+// read. Every known job was in the ledger before the load began, so one that is
+// not removed has its spec in loaded.
+func (c *Core) dropRemovedJobs(loaded []ledger.Record) {
+	stored := make(map[string]bool, len(c.jobs))
+	for _, r := range loaded {
+		if prefix, id := splitKey(r.Key); prefix == keySpec {
+			stored[id] = true
+		}
+	}
+	for id := range c.jobs {
+		if !stored[id] {
+			c.dropJob(id)
+		}
+	}
+}
+
+func (c *Core) dropJob(id string) {
+	delete(c.jobs, id)
+	c.index.Remove(id)
+}
+
 // applyRecord applies one record. It skips records that can't be decoded, which
 // other writers may have appended.
 func (c *Core) applyRecord(now time.Time, r ledger.Record) {
@@ -61,8 +85,7 @@
 
 func (c *Core) applySpec(now time.Time, id string, value []byte) error {
 	if len(value) == 0 {
-		delete(c.jobs, id)
-		c.index.Remove(id)
+		c.dropJob(id)
 		return nil
 	}
 	if c.jobs[id] != nil {
