state/sched: retry a failed task on its worker if no other takes it

Cause: a task that failed was kept from the worker on which it failed as long as there was any other worker at all, whether that one could run the task or not. Without an end were tasks that only one worker can run, by label, size or the placement service's answer, and gangs that do not fit without that worker. Only a change of leader ended it, because the worker of an idle task is not stored.

Change: the task is kept from that worker for two seconds after the last failure of a run of its step. That leaves other workers the first choice, and is below the three seconds in which a task must start while there is capacity for it.

Ruled out: asking whether another worker could run the task. It would have to count those that are full, and these may stay full for longer than that.

Before: TestFailedTaskRestartsOnOnlySuitableWorker fails in its four cases, the job being active 10 s after the failure. After: complete in all. TestFailedTaskRestartsOnOtherWorker and TestFailingWorkerCostsNoAttempts pass before and after.

--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -73,9 +73,7 @@
 	if st.Filling && c.worker.throttle.speedPercent() < minPlacementPercent {
 		return false
 	}
-	// A task that failed is retried on another worker, if there is one, in case
-	// its worker is at fault.
-	if t := &ps.round.Steps[ps.step][ps.idleTasks[0]]; t.FailedRuns > 0 && t.Worker == c.worker.ID && len(e.workersByID) > 1 {
+	if t := &ps.round.Steps[ps.step][ps.idleTasks[0]]; t.FailedRuns > 0 && t.Worker == c.worker.ID && ps.avoidsFailedWorker(p.now) {
 		return false
 	}
 	maxFit := len(ps.idleTasks)
@@ -89,6 +87,18 @@
 	return maxFit > 0
 }
 
+// failedWorkerTime is how long a task that failed is kept from the worker on
+// which it failed, in case the worker is at fault. It is limited because that
+// may be the only worker that can run the task, or one without which its gang
+// does not fit.
+const failedWorkerTime = 2 * time.Second
+
+// avoidsFailedWorker reports whether the step's tasks that failed are kept from
+// the workers on which they failed.
+func (ps pendingStep) avoidsFailedWorker(now time.Time) bool {
+	return now.Before(ps.job.stepPlacement(ps.round.Number, ps.step).lastFailure.Add(failedWorkerTime))
+}
+
 // countPlaced returns the number of the step's tasks that are placed on a
 // worker.
 func countPlaced(ps pendingStep, w *worker) int {
--- a/internal/state/sched/engine_test.go
+++ b/internal/state/sched/engine_test.go
@@ -146,6 +146,41 @@
 	is.Equal(s.progress("a").State, flow.Complete)
 }
 
+// TestFailedTaskRestartsOnOnlySuitableWorker guards against a failed task that
+// never starts again because only the worker on which it failed can run it.
+func TestFailedTaskRestartsOnOnlySuitableWorker(t *testing.T) {
+	labelled := taskStep(1, 1000, 400)
+	labelled.Label = "special"
+	tests := []struct {
+		name  string
+		queue string
+		step  flow.Step
+		setUp func(s *sim)
+	}{
+		{"only one has the label", "q2", labelled, func(s *sim) { s.workers["w00"].info.Labels = []string{"special"} }},
+		{"only one is large enough", "q2", taskStep(1, 40000, 400), func(s *sim) { s.workers["w00"].info.Capacity.CPU = 48000 }},
+		{"the placement service allows only one", "q1", taskStep(1, 1000, 400), func(s *sim) { s.allowedShare = 0.5 }},
+		{"the gang needs all", "q2", gangStep(4, 15000, 400), func(*sim) {}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 11, 2)
+			tt.setUp(s)
+			s.run(time.Second)
+			s.taskFailureRate = 1
+			s.submit(newJobSpec("a", tt.queue, tt.step))
+			for s.ackedFailures[TaskID{Job: "a"}] == 0 {
+				s.run(10 * time.Millisecond)
+			}
+			s.taskFailureRate = 0
+			s.run(10 * time.Second)
+			is.Equal(s.violations, nil)
+			is.Equal(s.progress("a").State, flow.Complete)
+		})
+	}
+}
+
 // TestOpenRoundsFitOneRecord checks that a job all of whose rounds are due has
 // no more rounds open than fit one stored record, and completes. Without the
 // limit the record of the job's progress would be too large for the store.
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -279,6 +279,7 @@
 // when its attempts are used up.
 func (e *Engine) handleFailure(now time.Time, r *run, st *flow.Step) {
 	e.attributeFailure(now, r)
+	r.job.stepPlacement(r.id.Round, r.id.Step).lastFailure = now
 	tasks := []*flow.Task{r.task}
 	if st.Gang {
 		tasks = tasks[:0]
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -55,6 +55,7 @@
 	nextQuery      time.Time        // earliest time of the next query
 	reservedOn     []*worker        // workers with a reservation for the step
 	nextPreemption time.Time        // earliest time of the next preemption for the step
+	lastFailure    time.Time        // when the end of a failed run of the step was last reported
 }
 
 // ticket permits a step to run on one worker.
