command/oper: catch SIGHUP before the settings are read

Seen by callers: an instance that got SIGHUP while it started ended and had to be started again. It listened for callers before it caught the signal, so a request could be cut off (LOST).

Cause: site caught SIGHUP only when all listeners were open and the core ran. Until then the signal ends the process.

Before: TestHangupDuringStartDoesNotEndProcess finds the process ended by the signal, in three runs of three. After: it goes on reading its settings, in three runs of three.

Not covered: a signal before the program's main function runs.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -56,6 +56,10 @@
 	if err := flags.Parse(args); err != nil {
 		return usageError(err)
 	}
+	// Until it is caught, SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	parsedLevel, err := zerolog.ParseLevel(*level)
 	if err != nil {
 		return usageError(err)
@@ -82,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	return instance.run(ctx, path)
+	return instance.run(ctx, path, hup)
 }
 
 func lookupEnv(env []string, name string) string {
@@ -151,7 +155,9 @@
 	return d
 }
 
-func (s *siteInstance) run(ctx context.Context, path string) error {
+// run runs the instance until ctx is done. It reads the settings file at path
+// again at each signal on hup.
+func (s *siteInstance) run(ctx context.Context, path string, hup <-chan os.Signal) error {
 	callers := &platform.CallerHandler{Core: s.core, Now: time.Now, Meter: s.meter}
 	listeners := []struct {
 		name, addr string
@@ -180,8 +186,6 @@
 	coreCtx, stopCore := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopCore()
 	group.Go(func() { s.core.Run(coreCtx) })
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	for running := true; running; {
 		select {
 		case <-ctx.Done():
