coordination/leader: need the promise of a dead member until it is removed

Seen by callers (request path, serve): two leaders of a domain at a time, so a task could be started twice.

Cause: a newcomer that reads that a member is dead claims after the duration of one promise, relying on the leader to need the dead member's promise. The leader left out each member that it had read to be dead. If it lost the log right after that and before its next batch removed the member, the promises of the others extended its lease up to the limit, past the newcomer's claim.

Change: the leader needs the promises of all members that it has acknowledged, dead or not. A removal is a record of the leader, so a newcomer that has not read it can't claim, and one that has read it waits for the limit.

Cost: a leader that loses the log between the death and the removal is not carried by promises. The removal is in its next batch.

--- a/internal/coordination/leader/election.go
+++ b/internal/coordination/leader/election.go
@@ -40,15 +40,13 @@
 // tryClaim claims the leadership when the leader lease of the current leader
 // has certainly expired.
 func (d *Domain) tryClaim(now time.Time) {
-	m, ok := d.state.Members[d.cfg.Member]
-	if !ok || m.Dead || d.leaving || d.logDown(now) || now.Before(d.noClaimBefore) {
+	if d.leaving || d.logDown(now) || now.Before(d.noClaimBefore) {
 		return
 	}
 	if d.lastClaim.term == d.state.Term+1 && now.Sub(d.lastClaim.sentAt) < appendTimeout {
 		return
 	}
-	claimant := lease.Claimant{LastLeaderRecord: d.lastLeaderRecord, PromisedUntil: d.noClaimBefore, Joined: d.joinedAt, Acked: m.Acked}
-	if !claimant.MayClaim(d.stream.CaughtUpAt(), d.cfg.LeaseDurations, d.state.Membership()) {
+	if !d.mayClaim(d.stream.CaughtUpAt()) {
 		return
 	}
 	d.lastClaim = sentClaim{term: d.state.Term + 1, sentAt: now}
@@ -56,6 +54,18 @@
 	d.appendRecord(work.Record{Claim: &c})
 }
 
+// mayClaim reports whether this member is alive in the domain's state and the
+// leader lease has certainly expired. read is the start of the last read that
+// reached the end of the log.
+func (d *Domain) mayClaim(read time.Time) bool {
+	m, ok := d.state.Members[d.cfg.Member]
+	if !ok || m.Dead {
+		return false
+	}
+	claimant := lease.Claimant{LastLeaderRecord: d.lastLeaderRecord, PromisedUntil: d.noClaimBefore, Joined: d.joinedAt, Acked: m.Acked}
+	return claimant.MayClaim(read, d.cfg.LeaseDurations, d.state.Membership())
+}
+
 // handleClaim processes a claim that has taken effect. It begins a term when
 // the claim is the last one that this member sent.
 func (d *Domain) handleClaim(c work.Claim, now time.Time) {
@@ -155,15 +165,17 @@
 }
 
 // earliestPromiseEnd returns the earliest end of the promises of all other
-// living members that the leader has acknowledged. It returns false when one of
-// them has made no promise, or when there are no such members. Members without
-// an acknowledgement are left out: they don't claim before the time at which
+// members that the leader has acknowledged. It returns false when one of them
+// has made no promise, or when there are no such members. A dead member counts
+// until it is removed: a newcomer that has read of the death claims early,
+// because the dead member promises nothing any more. Members without an
+// acknowledgement are left out: they don't claim before the time at which
 // promises can no longer extend the leader lease.
 func (d *Domain) earliestPromiseEnd() (time.Time, bool) {
 	var earliest time.Time
 	found := false
 	for id, m := range d.state.Members {
-		if id == d.cfg.Member || !m.Acked || m.Dead {
+		if id == d.cfg.Member || !m.Acked {
 			continue
 		}
 		until, ok := d.leadership.promises[id]
