state/lease: count a newcomer's wait from the death of a peer

Seen by callers (request path, serve): two leaders of a domain at a time, so a task could be started twice.

Cause: a newcomer that reads that a member is dead waited for the duration of one promise from its own join. The member may have died long after that and have promised until its death, so the leader's lease could outlast the wait.

Change: the wait counts from when the newcomer last read of a death, or from its join if that is later, and is never longer than without a death.

Before: in TestNewcomerDoesNotClaimDuringPromisedLease the newcomer may claim at 30 s, when it reads the death of a peer whose promises last until 40 s. After: at 42.5 s. With a death just before the end of all promises it may claim at 62.5 s, as without one; before at 55 s.

--- a/internal/coordination/leader/domain.go
+++ b/internal/coordination/leader/domain.go
@@ -69,6 +69,7 @@
 	leadership       *leadership // nil unless this instance is the leader
 	lastLeaderRecord time.Time   // when the leader's last record was received
 	joinedAt         time.Time   // when this member's join record was read
+	peerDiedAt       time.Time   // when a record was last read that marked a peer dead
 	joinSentAt       time.Time   // when the last join record was sent
 	noClaimBefore    time.Time   // promised to the leader: no claim before this time
 	lastClaim        sentClaim
@@ -151,7 +152,11 @@
 		d.state.Skip(offset)
 		return
 	}
+	deadPeers := d.state.Membership().DeadPeers
 	effective := d.state.Apply(offset, r)
+	if d.state.Membership().DeadPeers > deadPeers {
+		d.peerDiedAt = received
+	}
 	if effective {
 		d.handleRecord(r, received)
 	}
@@ -199,7 +204,7 @@
 		return err
 	}
 	now := d.cfg.Now()
-	d.lastLeaderRecord = now
+	d.lastLeaderRecord, d.peerDiedAt = now, now
 	if _, ok := d.state.Members[d.cfg.Member]; ok {
 		d.joinedAt = now
 	}
--- a/internal/coordination/leader/election.go
+++ b/internal/coordination/leader/election.go
@@ -62,7 +62,7 @@
 	if !ok || m.Dead {
 		return false
 	}
-	claimant := lease.Claimant{LastLeaderRecord: d.lastLeaderRecord, PromisedUntil: d.noClaimBefore, Joined: d.joinedAt, Acked: m.Acked}
+	claimant := lease.Claimant{LastLeaderRecord: d.lastLeaderRecord, PromisedUntil: d.noClaimBefore, Joined: d.joinedAt, PeerDied: d.peerDiedAt, Acked: m.Acked}
 	return claimant.MayClaim(read, d.cfg.LeaseDurations, d.state.Membership())
 }
 
--- a/internal/coordination/leader/promises_test.go
+++ b/internal/coordination/leader/promises_test.go
@@ -34,6 +34,14 @@
 		{"peers live", []entry{{record: join("n", "4"), readByA: true}}, 62500 * time.Millisecond},
 		{"a has read that a peer is dead", []entry{{record: join("n", "2"), readByA: true, deadPeer: "b"}}, 12500 * time.Millisecond},
 		{"a has not read that a peer is dead", []entry{{record: join("n", "2"), deadPeer: "b"}}, 12500 * time.Millisecond},
+		{"a peer dies long after n joined", []entry{
+			{record: join("n", "4"), readByA: true},
+			{at: 30 * time.Second, record: work.Record{MarkDead: &work.MarkDead{Member: "b"}}, deadPeer: "b"},
+		}, 42500 * time.Millisecond},
+		{"a peer dies shortly before the promises end", []entry{
+			{record: join("n", "4"), readByA: true},
+			{at: 55 * time.Second, record: work.Record{MarkDead: &work.MarkDead{Member: "b"}}, deadPeer: "b"},
+		}, 62500 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -77,6 +77,7 @@
 	LastLeaderRecord time.Time // when the leader's last record was received
 	PromisedUntil    time.Time // until when this member has promised not to claim
 	Joined           time.Time // when this member read its own join record
+	PeerDied         time.Time // when this member last read that a peer is dead; zero for never
 	Acked            bool      // the leader needs this member's promise too
 }
 
@@ -97,21 +98,30 @@
 	if read.Before(c.LastLeaderRecord.Add(d.LeaderLease + d.Margin)) {
 		return false
 	}
-	return c.Acked || !read.Before(c.Joined.Add(c.joinWait(d, m)))
+	return c.Acked || !read.Before(c.newcomerMayClaimFrom(d, m))
 }
 
-// joinWait returns how long after joining a member whose promise the leader does
-// not need yet must not claim, because the leader's lease may still be extended
-// by promises of the other members. Without other members there are no promises.
-// If a member is dead whose promise the leader needs, the lease can't be extended
-// further, and each promise made before ends within its fixed duration.
-func (c Claimant) joinWait(d Durations, m Membership) time.Duration {
+// newcomerMayClaimFrom returns from when on a member whose promise the leader does not
+// need yet may claim. Until then the promises of the other members may still
+// extend the leader's lease. Without other members there are no promises. If a
+// member is dead whose promise the leader needs, the lease can't be extended
+// further, and the promises that it made end within their fixed duration after
+// its death.
+func (c Claimant) newcomerMayClaimFrom(d Durations, m Membership) time.Time {
 	leaderWait := d.LeaderLease + d.Margin
-	switch {
-	case m.Peers == 0:
-		return leaderWait
-	case m.DeadPeers > 0:
-		return d.Promise + leaderWait
+	if m.Peers == 0 {
+		return c.Joined.Add(leaderWait)
 	}
-	return d.MaxPromised + leaderWait
+	from := c.Joined.Add(d.MaxPromised + leaderWait)
+	if m.DeadPeers == 0 {
+		return from
+	}
+	since := c.Joined
+	if c.PeerDied.After(since) {
+		since = c.PeerDied
+	}
+	if early := since.Add(d.Promise + leaderWait); early.Before(from) {
+		return early
+	}
+	return from
 }
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -56,19 +56,26 @@
 		name       string
 		membership lease.Membership
 		acked      bool
+		peerDied   float64 // 0 for not after the join
 		from       float64
 	}{
-		{"nobody-leads", lease.Membership{}, false, 0},
-		{"counted-member", lease.Membership{HasLeader: true, Peers: 2}, true, 12.5},
-		{"leader-dead", lease.Membership{HasLeader: true, LeaderDead: true, Peers: 2}, true, 10.5},
-		{"newcomer-and-leader-alone", lease.Membership{HasLeader: true}, false, 12.5},
-		{"newcomer-and-a-dead-peer", lease.Membership{HasLeader: true, Peers: 2, DeadPeers: 1}, false, 17.5},
-		{"newcomer-and-living-peers", lease.Membership{HasLeader: true, Peers: 2}, false, 67.5},
+		{"nobody-leads", lease.Membership{}, false, 0, 0},
+		{"counted-member", lease.Membership{HasLeader: true, Peers: 2}, true, 0, 12.5},
+		{"leader-dead", lease.Membership{HasLeader: true, LeaderDead: true, Peers: 2}, true, 0, 10.5},
+		{"newcomer-and-leader-alone", lease.Membership{HasLeader: true}, false, 0, 12.5},
+		{"newcomer-and-a-dead-peer", lease.Membership{HasLeader: true, Peers: 2, DeadPeers: 1}, false, 0, 17.5},
+		{"newcomer-and-a-peer-that-died-later", lease.Membership{HasLeader: true, Peers: 2, DeadPeers: 1}, false, 30, 42.5},
+		{"newcomer-and-a-peer-that-died-last", lease.Membership{HasLeader: true, Peers: 2, DeadPeers: 1}, false, 60, 67.5},
+		{"newcomer-and-living-peers", lease.Membership{HasLeader: true, Peers: 2}, false, 0, 67.5},
+		{"newcomer-and-living-peers-after-a-removal", lease.Membership{HasLeader: true, Peers: 1}, false, 30, 67.5},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			claimant := lease.Claimant{LastLeaderRecord: atSecond(10), Joined: atSecond(5), Acked: c.acked}
+			if c.peerDied > 0 {
+				claimant.PeerDied = atSecond(c.peerDied)
+			}
 			is.True(claimant.MayClaim(atSecond(c.from), durations, c.membership))
 			if c.from > 0 {
 				is.True(!claimant.MayClaim(atSecond(c.from-0.001), durations, c.membership))
