coordination/leader: need a promise from a member once its ack is sent

Seen by callers (request path, serve): two leaders of a domain at a time, so a task could be started twice.

Cause: a member that reads its acknowledgement claims 2.5 s after the leader's last record, relying on the leader to need its promise. A leader that loses the log after sending the acknowledgement and before reading it back did not count the member and was carried on by the promises of the others.

Change: a member counts from when its acknowledgement is sent.

Before: in TestNewcomerDoesNotClaimDuringPromisedLease the newcomer may claim at 2.5 s while the leader may act until 12.4 s. After: its lease has ended then.

--- a/internal/coordination/leader/election.go
+++ b/internal/coordination/leader/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
@@ -168,14 +169,15 @@
 // members that the leader has acknowledged. It returns false when one of them
 // has made no promise, or when there are no such members. A dead member counts
 // until it is removed: a newcomer that has read of the death claims early,
-// because the dead member promises nothing any more. Members without an
-// acknowledgement are left out: they don't claim before the time at which
-// promises can no longer extend the leader lease.
+// because the dead member promises nothing any more. A member counts from when
+// its acknowledgement is sent, because it may read of it before this leader
+// does. Other members without an acknowledgement are left out: they don't claim
+// before the time at which promises can no longer extend the leader lease.
 func (d *Domain) earliestPromiseEnd() (time.Time, bool) {
 	var earliest time.Time
 	found := false
 	for id, m := range d.state.Members {
-		if id == d.cfg.Member || !m.Acked {
+		if id == d.cfg.Member || !m.Acked && !d.leadership.sentAck(id) {
 			continue
 		}
 		until, ok := d.leadership.promises[id]
@@ -188,3 +190,9 @@
 	}
 	return earliest, found
 }
+
+// sentAck reports whether the batch that has not taken effect yet acknowledges
+// the member.
+func (l *leadership) sentAck(id string) bool {
+	return l.pendingBatch != nil && slices.Contains(l.pendingBatch.batch.Ack, id)
+}
--- a/internal/coordination/leader/promises_test.go
+++ b/internal/coordination/leader/promises_test.go
@@ -24,6 +24,7 @@
 		at       time.Duration
 		record   work.Record
 		readByA  bool   // before a loses the log
+		sentByA  bool   // a has sent it and not read it back
 		deadPeer string // the peer that it says is dead
 	}
 	tests := []struct {
@@ -42,6 +43,10 @@
 			{record: join("n", "4"), readByA: true},
 			{at: 55 * time.Second, record: work.Record{MarkDead: &work.MarkDead{Member: "b"}}, deadPeer: "b"},
 		}, 62500 * time.Millisecond},
+		{"a has not read that it acknowledged n", []entry{
+			{record: join("n", "4"), readByA: true},
+			{record: work.Record{Batch: &work.Batch{Term: 1, Seq: 2, Member: "a", Ack: []string{"n"}}}, sentByA: true},
+		}, 2500 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -80,6 +85,9 @@
 					}
 					read(now, e.record, e.readByA)
 					delete(alive, e.deadPeer)
+					if e.sentByA {
+						a.leadership.pendingBatch = &sentBatch{batch: e.record.Batch}
+					}
 				}
 				if n.mayClaim(now) {
 					is.Equal(passed, tt.want)
