state/lease: count a newcomer's longest wait from the leader's last record

Seen by callers (request path, serve): two leaders of a domain at a time, so a task could be started twice. It needs a newcomer that joined well before the leader lost the log and was not acknowledged, as when the leader could not read the list of instances.

Cause: promises extend the leader's lease up to a limit after its last confirmed record. The newcomer counted the same limit from its own join.

Change: it counts from the leader's last record, if that is later.

Before: in TestNewcomerDoesNotClaimDuringPromisedLease the newcomer may claim at 62.5 s while the leader, which renewed its lease at 30 s, may act until 72.4 s and further by each promise. After: at 92.5 s.

--- a/internal/coordination/leader/promises_test.go
+++ b/internal/coordination/leader/promises_test.go
@@ -33,6 +33,10 @@
 		want    time.Duration // when n may claim first
 	}{
 		{"peers live", []entry{{record: join("n", "4"), readByA: true}}, 62500 * time.Millisecond},
+		{"peers live, and a renews its lease after n joined", []entry{
+			{record: join("n", "4"), readByA: true},
+			{at: 30 * time.Second, record: work.Record{Batch: &work.Batch{Term: 1, Seq: 2, Member: "a"}}, readByA: true},
+		}, 92500 * time.Millisecond},
 		{"a has read that a peer is dead", []entry{{record: join("n", "2"), readByA: true, deadPeer: "b"}}, 12500 * time.Millisecond},
 		{"a has not read that a peer is dead", []entry{{record: join("n", "2"), deadPeer: "b"}}, 12500 * time.Millisecond},
 		{"a peer dies long after n joined", []entry{
@@ -85,15 +89,18 @@
 					}
 					read(now, e.record, e.readByA)
 					delete(alive, e.deadPeer)
+					if e.readByA && e.record.Batch != nil {
+						a.leadership.leaderLease.Renew(now)
+					}
 					if e.sentByA {
 						a.leadership.pendingBatch = &sentBatch{batch: e.record.Batch}
 					}
 				}
 				if n.mayClaim(now) {
-					is.Equal(passed, tt.want)
 					if a.leadership.leaderLease.Valid(now, durations) {
 						t.Errorf("n may claim after %v, while a may act until %v after the start", passed, a.leadership.leaderLease.Expiry(durations).Sub(start))
 					}
+					is.Equal(passed, tt.want)
 					return
 				}
 				for peer := range alive {
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -103,7 +103,8 @@
 
 // newcomerMayClaimFrom returns from when on a member whose promise the leader does not
 // need yet may claim. Until then the promises of the other members may still
-// extend the leader's lease. Without other members there are no promises. If a
+// extend the leader's lease, which they do at most for a limited time after the
+// leader's last record. Without other members there are no promises. If a
 // member is dead whose promise the leader needs, the lease can't be extended
 // further, and the promises that it made end within their fixed duration after
 // its death.
@@ -112,16 +113,19 @@
 	if m.Peers == 0 {
 		return c.Joined.Add(leaderWait)
 	}
-	from := c.Joined.Add(d.MaxPromised + leaderWait)
+	from := latest(c.Joined, c.LastLeaderRecord).Add(d.MaxPromised + leaderWait)
 	if m.DeadPeers == 0 {
 		return from
 	}
-	since := c.Joined
-	if c.PeerDied.After(since) {
-		since = c.PeerDied
-	}
-	if early := since.Add(d.Promise + leaderWait); early.Before(from) {
+	if early := latest(c.Joined, c.PeerDied).Add(d.Promise + leaderWait); early.Before(from) {
 		return early
 	}
 	return from
 }
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
