coordination/leader: acknowledge no member while older promises are in force

Seen by callers (request path, serve): two leaders of a domain at a time, so a task could be started twice.

Cause: promises that a leader got in an outage stay in force after it. A member that joined then and was acknowledged at once had promised nothing, and an acknowledged member claims 2.5 s after the leader's last record, which may be before the older promises end.

Change: members that join are acknowledged when the promises have ended, at most the duration of one promise after the outage. Until then they wait as newcomers.

Ruled out: giving up the older promises at the acknowledgement. The leader has in turn promised owners not to move their minions for as long.

--- a/internal/coordination/leader/owners.go
+++ b/internal/coordination/leader/owners.go
@@ -12,7 +12,9 @@
 const memberRemovalDelay = 10 * time.Second
 
 // addMemberChanges adds to the batch acknowledgements of new members and
-// removals of members that have ended or are gone.
+// removals of members that have ended or are gone. No member is acknowledged
+// while promises from an outage may still carry the leader lease: the new member
+// has made none, and an acknowledged member does not wait for them to end.
 func (d *Domain) addMemberChanges(b *work.Batch) {
 	listedInstances := map[string]bool{}
 	for _, inst := range d.cfg.Instances(member.KindEntry) {
@@ -29,7 +31,9 @@
 		case m.Dead && !d.state.OwnsMinions(id):
 			b.Remove = append(b.Remove, id)
 		case !m.Acked && !m.Dead:
-			b.Ack = append(b.Ack, id)
+			if !d.leadership.leaderLease.Promised(now) {
+				b.Ack = append(b.Ack, id)
+			}
 		case !listedInstances[m.Instance] && now.Sub(lastContact[id]) > memberRemovalDelay && now.Sub(d.leadership.startedAt) > memberRemovalDelay && !d.state.OwnsMinions(id):
 			b.Remove = append(b.Remove, id)
 		}
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -62,6 +62,9 @@
 // Valid reports whether the lease has not expired at now.
 func (l *LeaderLease) Valid(now time.Time, d Durations) bool { return now.Before(l.Expiry(d)) }
 
+// Promised reports whether a promise made to the leader is still in force at now.
+func (l *LeaderLease) Promised(now time.Time) bool { return now.Before(l.promisedUntil) }
+
 // Membership describes, as the log shows it, the leader and the members that
 // could extend its lease by promises.
 type Membership struct {
