state/sched: evaluate steps beyond the limit of a pass in turn

Seen by callers: jobs did not start for as long as enough others were ahead of them that could not start either, although there was capacity for them (LOST).

Cause: a pass evaluates 48 pending steps and leaves the others to later passes, but each pass began with the same ones. When no worker could run these, because of a label or a size that none has, or because they waited for room, the steps behind them were never evaluated.

Change: of the 48 steps, 12 are taken in turn from those behind the first 36, so a pass costs what it did and the order of the queue still decides who comes first for what is free.

Before: in TestUnplaceableStepsDoNotBlockOthers a small job stays queued behind 144 that no worker can run, in the three cases. After: complete within 3 s.

--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -85,6 +85,7 @@
 	nextTick             time.Time
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]time.Time // expiry of partial reservations, by step
+	nextInTurn           int                  // among the pending steps evaluated in turn, the one with which the next pass begins
 }
 
 // job is a job with the state that the engine derives from it.
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -7,10 +7,14 @@
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 )
 
-// maxStepsPerPass limits the steps that one scheduling pass evaluates, so that
-// a pass costs no more with a long backlog than with a short one. The remaining
-// steps are left to later passes.
-const maxStepsPerPass = 48
+// Limits on the steps that one scheduling pass evaluates, so that a pass costs no
+// more with a long backlog than with a short one. If there are more, a pass
+// evaluates the first ones and some of the others, in turn, because the first
+// ones may be steps that no worker can run now.
+const (
+	maxStepsPerPass = 48
+	maxStepsInTurn  = 12 // of them, steps evaluated in turn
+)
 
 // Schedule makes a scheduling pass: it places the tasks that can start now,
 // reserves capacity, preempts runs, and queries the placement service for
@@ -30,9 +34,25 @@
 	for i := range e.config.Queues {
 		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
 	}
-	for _, ps := range pending {
-		if p.stepsEvaluated >= maxStepsPerPass {
-			return
+	n := e.placeSteps(p, pending, maxStepsPerPass-maxStepsInTurn)
+	rest := pending[n:]
+	if len(rest) == 0 {
+		return
+	}
+	from := e.nextInTurn % len(rest)
+	n = e.placeSteps(p, rest[from:], maxStepsPerPass)
+	e.nextInTurn = from + n
+	if from+n >= len(rest) {
+		e.nextInTurn = e.placeSteps(p, rest[:from], maxStepsPerPass)
+	}
+}
+
+// placeSteps places steps in order until the pass has evaluated limit steps. It
+// returns the number of steps that it has dealt with.
+func (e *Engine) placeSteps(p *schedulingPass, steps []pendingStep, limit int) int {
+	for i, ps := range steps {
+		if p.stepsEvaluated >= limit {
+			return i
 		}
 		// Capacity is reserved for a gang before any of its tasks fits, and runs may
 		// be preempted for a step that is not of the lowest priority.
@@ -41,6 +61,7 @@
 			e.placeStep(p, ps)
 		}
 	}
+	return len(steps)
 }
 
 // canProgress reports whether evaluating workers for the step can lead to a
