state/sched: reserve nothing for a gang that can't fit

Seen by callers: jobs did not start although capacity was free, for as long as a gang waited that is too large for all workers of its service (LOST).

That was made and renewed for a gang that does not fit on the empty workers either, and kept steps of its own and lower priorities from them.

Change: no such reservation is made for a gang whose tasks do not fit on all listed workers of its service that have its label, if these were empty.

Before: TestOversizedGangReservesNothing fails in its three cases. After: passes.

--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -116,7 +116,7 @@
 		fit += c.fit + c.preemptFit
 	}
 	if fit == 0 || (st.Gang && fit < need) {
-		if st.Gang && len(candidates) > 0 && e.admitPartialReservation(p.now, ps) {
+		if st.Gang && len(candidates) > 0 && e.fitsEmptyWorkers(ps, st, need) && e.admitPartialReservation(p.now, ps) {
 			e.reservePartially(p, ps, st, candidates, need)
 		}
 		return nil
@@ -150,6 +150,25 @@
 	return chosen
 }
 
+// fitsEmptyWorkers reports whether need tasks of the step would fit on the
+// workers of its service if these were empty. Capacity reserved for a gang that
+// does not fit even then would stay unused.
+func (e *Engine) fitsEmptyWorkers(ps pendingStep, st *flow.Step, need int) bool {
+	service, perWorker := e.policy(ps.job).Service, need
+	if st.MaxPerWorker > 0 {
+		perWorker = min(perWorker, st.MaxPerWorker)
+	}
+	for _, w := range e.workersByID {
+		if w.listed && !w.Draining && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
+			need -= fitCount(w.Capacity, taskSize(st), perWorker)
+		}
+		if need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // reservePartially reserves capacity for a gang that does not fit yet: what is
 // free on each candidate, and capacity for one more task on the workers that
 // lack the least CPU for it, so that other steps don't take what becomes free
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -84,3 +84,34 @@
 		})
 	}
 }
+
+// TestOversizedGangReservesNothing guards against capacity that stays reserved,
+// and unused, for a gang that does not fit on all workers of its service together
+// even while they are empty.
+func TestOversizedGangReservesNothing(t *testing.T) {
+	spread := gangStep(6, 20000, 400)
+	spread.MaxPerWorker = 1
+	tests := []struct {
+		name  string
+		queue string
+		gang  flow.Step
+	}{
+		{"too large for all workers", "q2", gangStep(40, 20000, 400)},
+		{"too large for all workers, with tickets", "q1", gangStep(40, 20000, 400)},
+		{"too many for one on each worker", "q2", spread},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 12, 4)
+			s.run(time.Second)
+			s.submit(newJobSpec("g0", tt.queue, tt.gang))
+			s.submit(newJobSpec("g1", tt.queue, tt.gang))
+			s.run(500 * time.Millisecond)
+			s.submit(newJobSpec("a", "q2", gangStep(4*32, 1000, 400))) // needs all workers
+			s.run(3 * time.Second)
+			is.Equal(s.violations, nil)
+			is.Equal(s.progress("a").State, flow.Complete)
+		})
+	}
+}
