--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -60,6 +60,10 @@
 	if err := flags.Parse(args); err != nil {
 		return usageError(err)
 	}
+	// Until it is caught, SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	parsedLevel, err := zerolog.ParseLevel(*level)
 	if err != nil || !slices.Contains([]string{"debug", "info", "warn", "error"}, *level) {
 		return usageError(&errs.Error{Step: "read flags", Peer: "operator", Path: "log-level", Value: *level, Allowed: logLevels})
@@ -86,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	return instance.run(ctx, path)
+	return instance.run(ctx, path, hup)
 }
 
 func lookupEnv(env []string, name string) string {
@@ -155,7 +159,9 @@
 	return d
 }
 
-func (s *siteInstance) run(ctx context.Context, path string) error {
+// run runs the instance until ctx is done. It reads the settings file at path
+// again at each signal on hup.
+func (s *siteInstance) run(ctx context.Context, path string, hup <-chan os.Signal) error {
 	callers := &platform.CallerHandler{Core: s.core, Now: time.Now, Meter: s.meter}
 	listeners := []struct {
 		name, addr string
@@ -188,8 +194,6 @@
 		defer close(coreEnded)
 		s.core.Run(coreCtx)
 	})
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	for running := true; running; {
 		select {
 		case <-ctx.Done():
--- a/internal/command/oper/site_panic_test.go
+++ b/internal/command/oper/site_panic_test.go
@@ -44,7 +44,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	go func() {
 		defer func() { ended <- recover() }()
-		_ = s.run(ctx, "") // panics
+		_ = s.run(ctx, "", nil) // panics
 	}()
 	for range 200 { // until it serves
 		if resp, err := http.Get("http://" + s.settings.ReadinessAddr); err == nil {
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -62,6 +62,9 @@
 // Valid reports whether the lease has not expired at now.
 func (l *LeaderLease) Valid(now time.Time, d Durations) bool { return now.Before(l.Expiry(d)) }
 
+// Promised reports whether a promise made to the leader is still in force at now.
+func (l *LeaderLease) Promised(now time.Time) bool { return now.Before(l.promisedUntil) }
+
 // Membership describes, as the log shows it, the leader and the members that
 // could extend its lease by promises.
 type Membership struct {
@@ -77,6 +80,7 @@
 	LastLeaderRecord time.Time // when the leader's last record was received
 	PromisedUntil    time.Time // until when this member has promised not to claim
 	Joined           time.Time // when this member read its own join record
+	PeerDied         time.Time // when this member last read that a peer is dead; zero for never
 	Acked            bool      // the leader needs this member's promise too
 }
 
@@ -97,21 +101,34 @@
 	if read.Before(c.LastLeaderRecord.Add(d.LeaderLease + d.Margin)) {
 		return false
 	}
-	return c.Acked || !read.Before(c.Joined.Add(c.joinWait(d, m)))
+	return c.Acked || !read.Before(c.newcomerMayClaimFrom(d, m))
 }
 
-// joinWait returns how long after joining a member whose promise the leader does
-// not need yet must not claim, because the leader's lease may still be extended
-// by promises of the other members. Without other members there are no promises.
-// If a member is dead whose promise the leader needs, the lease can't be extended
-// further, and each promise made before ends within its fixed duration.
-func (c Claimant) joinWait(d Durations, m Membership) time.Duration {
+// newcomerMayClaimFrom returns from when on a member whose promise the leader does not
+// need yet may claim. Until then the promises of the other members may still
+// extend the leader's lease, which they do at most for a limited time after the
+// leader's last record. Without other members there are no promises. If a
+// member is dead whose promise the leader needs, the lease can't be extended
+// further, and the promises that it made end within their fixed duration after
+// its death.
+func (c Claimant) newcomerMayClaimFrom(d Durations, m Membership) time.Time {
 	leaderWait := d.LeaderLease + d.Margin
-	switch {
-	case m.Peers == 0:
-		return leaderWait
-	case m.DeadPeers > 0:
-		return d.Promise + leaderWait
+	if m.Peers == 0 {
+		return c.Joined.Add(leaderWait)
+	}
+	from := latest(c.Joined, c.LastLeaderRecord).Add(d.MaxPromised + leaderWait)
+	if m.DeadPeers == 0 {
+		return from
+	}
+	if early := latest(c.Joined, c.PeerDied).Add(d.Promise + leaderWait); early.Before(from) {
+		return early
+	}
+	return from
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return d.MaxPromised + leaderWait
+	return b
 }
