--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -43,6 +43,15 @@
 	allowedShare    float64 // workers that may run a step
 	queryLossRate   float64 // queries to the placement service, and probes, that fail
 
+	// With timedQueries each client answers one query at a time, after the
+	// computed duration of the query.
+	timedQueries     bool
+	placementClients int                  // number of clients, 3 if 0
+	clientBusy       map[string]time.Time // until when each client is busy
+	allowedShares    map[string]float64   // overrides allowedShare, by queue
+	queries          map[string]int       // queries answered, by queue
+	querySeconds     map[string]float64   // their computed duration, by queue
+
 	// gangsDisturbed is set once a fault may have kept a member of a gang from
 	// joining the others. The invariant that all members of a gang start together
 	// holds without such faults; changes of configuration, cancellations, jobs
@@ -50,11 +59,12 @@
 	gangsDisturbed bool
 
 	violations      []string
-	started         map[TaskID]bool // tasks of which a run has started
-	done            map[TaskID]bool // tasks of which a run ended as done
-	ackedDone       map[TaskID]bool // tasks of which the end as done was acknowledged
-	ackedFailures   map[TaskID]int  // acknowledged failures by task
-	maxPollsPerStep int             // most polls that the leader sent in one step
+	started         map[TaskID]bool          // tasks of which a run has started
+	done            map[TaskID]bool          // tasks of which a run ended as done
+	ackedDone       map[TaskID]bool          // tasks of which the end as done was acknowledged
+	ackedFailures   map[TaskID]int           // acknowledged failures by task
+	savedWork       map[TaskID]time.Duration // work saved by stopped runs, at speed 1
+	maxPollsPerStep int                      // most polls that the leader sent in one step
 }
 
 // storedJob is the stored state of a job.
@@ -141,7 +151,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000),
 		params: Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: 120 * time.Second},
 		jobs:   map[string]*storedJob{}, workers: map[string]*simWorker{}, allowedShare: 1,
-		started: map[TaskID]bool{}, ackedDone: map[TaskID]bool{}, done: map[TaskID]bool{}, ackedFailures: map[TaskID]int{},
+		started: map[TaskID]bool{}, ackedDone: map[TaskID]bool{}, done: map[TaskID]bool{}, savedWork: map[TaskID]time.Duration{}, ackedFailures: map[TaskID]int{},
 	}
 	s.config = &flow.Config{Version: 1}
 	for i, service := range []flow.PlacementService{{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 1500}, {CallMs: 50, PerWorkerMs: 0.7, TicketValidMs: 1500}, {}} {
@@ -203,7 +213,11 @@
 	s.committing, s.leaderPaused, s.batch = false, false, nil
 	s.engine = New(s.params, s.now)
 	s.engine.SetConfig(s.config)
-	s.engine.SetPlacementClients("a", []string{"a", "b", "c"})
+	clients := []string{"a", "b", "c"}
+	for len(clients) < s.placementClients {
+		clients = append(clients, fmt.Sprintf("c%02d", len(clients)))
+	}
+	s.engine.SetPlacementClients("a", clients)
 	for _, id := range s.jobIDs {
 		stored := s.jobs[id]
 		if stored.removed {
@@ -333,7 +347,25 @@
 // allows is fixed for each job, about allowedShare of them, so that repeated
 // queries get the same answer.
 func (s *sim) answerQuery(e *Engine, q PlacementQuery) {
-	s.after(20*time.Millisecond, func() {
+	delay, share := 20*time.Millisecond, s.allowedShare
+	queue := s.jobs[q.Job].spec.Queue
+	if v, ok := s.allowedShares[queue]; ok {
+		share = v
+	}
+	if s.timedQueries {
+		duration := queryDuration(s.config.Queue(queue).Policy.PlacementService, len(q.Workers))
+		if s.clientBusy == nil {
+			s.clientBusy, s.queries, s.querySeconds = map[string]time.Time{}, map[string]int{}, map[string]float64{}
+		}
+		s.queries[queue]++
+		s.querySeconds[queue] += duration.Seconds()
+		if s.clientBusy[q.Client].Before(s.now) {
+			s.clientBusy[q.Client] = s.now
+		}
+		s.clientBusy[q.Client] = s.clientBusy[q.Client].Add(duration)
+		delay = s.clientBusy[q.Client].Sub(s.now) + 4*simLatency
+	}
+	s.after(delay, func() {
 		if s.engine != e {
 			return
 		}
@@ -341,7 +373,7 @@
 		for _, w := range q.Workers {
 			h := fnv.New32a()
 			h.Write([]byte(q.Job + w))
-			if float64(h.Sum32()%1000) < s.allowedShare*1000 {
+			if float64(h.Sum32()%1000) < share*1000 {
 				tickets[w] = "t"
 			}
 		}
@@ -349,6 +381,10 @@
 	})
 }
 
+// restoreTime is how long a run that resumes from a checkpoint takes before it
+// goes on.
+const restoreTime = 100 * time.Millisecond
+
 const simLatency = 2 * time.Millisecond
 
 // send delivers an order to its worker and the answer to the engine, with the
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -96,7 +96,11 @@
 	r := &simRun{id: o.Task, number: o.Run, size: step.Size, gang: step.Gang, startedAt: s.now, running: true}
 	w.runs[o.Task] = r
 	s.started[o.Task] = true
-	runTime := time.Duration(float64(step.EstimateMs)/w.speed*(0.7+0.6*s.rng.Float64())) * time.Millisecond
+	work := time.Duration(float64(step.EstimateMs)*(0.7+0.6*s.rng.Float64())) * time.Millisecond
+	if step.Checkpointing && !step.Gang && s.savedWork[o.Task] > 0 {
+		work = max(work-s.savedWork[o.Task], 0) + restoreTime
+	}
+	runTime := time.Duration(float64(work) / w.speed)
 	if r.gang {
 		s.runGang(w, r, step, runTime)
 		return AnswerOK
@@ -223,11 +227,15 @@
 }
 
 func (w *simWorker) finishRun(r *simRun, kind EndKind) {
+	s := w.sim
 	if !r.running || w.runs[r.id] != r {
 		return
 	}
 	r.running = false
 	delete(w.runs, r.id)
+	if kind == EndStopped && !r.gang && s.jobs[r.id.Job].spec.Steps[r.id.Step].Checkpointing {
+		s.savedWork[r.id] += time.Duration(float64(s.now.Sub(r.startedAt)) * w.speed)
+	}
 	w.lastClosedRun[r.id] = max(w.lastClosedRun[r.id], r.number)
 	if kind == EndDone {
 		w.sim.done[r.id] = true
