state/sched: renewals of a wide gang name the tickets that would expire

Cause: if a gang lacked one ticket, all its workers were named again, the first 30 at most. The workers after the first 30 were never named, and tickets that would have lasted were fetched anew.

The renewal now names the workers without a valid ticket first, then those whose ticket would expire before the answer. Tickets that last are left alone, so consecutive queries reach all workers: a ticket is valid for 1.38 s, a query takes 0.49 s.

TestGangWiderThanOneQueryStarts failed before (70 tasks) and passes.

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -179,7 +179,7 @@
 	if sp.querying {
 		return
 	}
-	workers := workersToRenew(p, sp, chosen, st.Gang)
+	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang)
 	if len(chosen) == 0 {
 		workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need)
 	}
@@ -189,24 +189,26 @@
 }
 
 // workersToRenew returns the IDs of the chosen workers whose tickets are no
-// longer valid. If a gang lacks one, the tickets of all its workers are fetched
-// together, so that none expires before the last arrives.
-func workersToRenew(p *schedulingPass, sp *stepPlacement, chosen []*candidate, gang bool) []string {
-	var names []string
-	expired := 0
+// longer valid, up to maxQueryWorkers. A gang starts as a whole, so its tickets
+// must be valid at the same time: if it lacks one, the tickets that would expire
+// before the answer are renewed too. The others are not, so that a gang on more
+// workers than one query may name gets all its tickets by consecutive queries.
+func workersToRenew(p *schedulingPass, sp *stepPlacement, service flow.PlacementService, chosen []*candidate, gang bool) []string {
+	answeredBy := p.now.Add(maxLongQueryWait + queryDuration(service, min(len(chosen), maxQueryWorkers)))
+	var expired, expiring []string
 	for _, c := range chosen {
-		valid := sp.tickets[c.worker.ID].incarnation == c.worker.lastIncarnation && p.now.Before(sp.tickets[c.worker.ID].expires)
-		if !valid {
-			expired++
-		}
-		if (!valid || gang) && len(names) < maxQueryWorkers {
-			names = append(names, c.worker.ID)
+		switch t := sp.tickets[c.worker.ID]; {
+		case t.incarnation != c.worker.lastIncarnation || !p.now.Before(t.expires):
+			expired = append(expired, c.worker.ID)
+		case gang && t.expires.Before(answeredBy):
+			expiring = append(expiring, c.worker.ID)
 		}
 	}
-	if expired == 0 {
+	if len(expired) == 0 {
 		return nil
 	}
-	return names
+	names := append(expired, expiring...)
+	return names[:min(len(names), maxQueryWorkers)]
 }
 
 // workersToQuery returns the IDs of workers to query for the first time for a
