state/sched: queries in flight claim the capacity that they should use

Of the tickets that profiles and recon received in, 46 and 61 % named a worker that had room when the query was sent and none when the answer came, and each profile step queried 2.8 times more after its first query. Placement clients were busy all the time, so recon steps had none.

Cause: a query reserves nothing. All steps that query within the 0.1 to 0.5 s of a call choose the best workers by the same rank, and the one that is answered first takes the room.

A query now leaves claims on the workers that it names, for the capacity that the step should use there, until it is answered. Queries of other steps name workers beyond such claims first. Claims of lower priorities don't count, so urgent steps still name the best workers, and no claim keeps a task away.

Ruled out as more than a small part: capacity reserved by waiting gangs that is taken by steps of a higher priority while the tickets are fetched.

TestQueriesInFlightNameOtherWorkers failed before.

--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -19,6 +19,7 @@
 	worker     *worker
 	free       work.Size // capacity that no run uses
 	rank       float64   // for any step; the lower the better
+	available  work.Size // free, less what is reserved for other steps
 	stepRank   float64   // rank for the step: rank plus the penalty for remote data
 	fit        int       // number of the step's tasks that fit without preemption
 	preemptFit int       // number of further tasks that fit with preemption
@@ -82,7 +83,8 @@
 	if st.MaxPerWorker > 0 {
 		maxFit = min(maxFit, st.MaxPerWorker-countPlaced(ps, c.worker))
 	}
-	c.fit, c.preemptFit, c.stepRank = fitCount(c.free.Sub(e.reservedForOthers(p.now, c.worker, ps)), size, maxFit), 0, c.rank
+	c.available = c.free.Sub(e.reservedForOthers(p.now, c.worker, ps))
+	c.fit, c.preemptFit, c.stepRank = fitCount(c.available, size, maxFit), 0, c.rank
 	if st.DataRack != "" && c.worker.Rack != st.DataRack {
 		c.stepRank += remoteDataPenalty
 	}
--- a/internal/state/sched/estimates.go
+++ b/internal/state/sched/estimates.go
@@ -60,6 +60,16 @@
 	return q
 }
 
+// minAllowedShare is the least share of allowed workers that is assumed of a
+// queue. It bounds how many workers a query names for one task.
+const minAllowedShare = 0.05
+
+// allowedShare returns the estimated share of workers that may run a step of a
+// queue.
+func (e *Engine) allowedShare(queue string) float64 {
+	return max(e.ensureQueueEstimates(queue).AllowedShare, minAllowedShare)
+}
+
 // Estimates returns the present estimates, rounded to hundredths.
 func (e *Engine) Estimates() Estimates {
 	estimates := Estimates{Workers: map[string]WorkerEstimates{}, Queues: map[string]QueueEstimates{}}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -183,8 +183,8 @@
 	if len(chosen) == 0 {
 		workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need)
 	}
-	if len(workers) > 0 {
-		e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers)
+	if len(workers) > 0 && e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers) {
+		e.claimWorkers(p, ps, workers, need, p.now.Add(queryDuration(policy.PlacementService, len(workers))+queryTimeoutSlack))
 	}
 }
 
@@ -214,7 +214,9 @@
 // workersToQuery returns the IDs of workers to query for the first time for a
 // step. They are enough workers for the tasks, given their free capacity and
 // the share of workers that are allowed in this queue, and more while naming
-// them costs little beside the fixed time of the call.
+// them costs little beside the fixed time of the call. Workers come first whose
+// free capacity no other step is about to use, then other workers with free
+// capacity, then full ones.
 func (e *Engine) workersToQuery(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, sp *stepPlacement, permitted []*candidate, need int) []string {
 	expectedFit := 0.0
 	if st.Gang {
@@ -224,24 +226,29 @@
 			expectedFit += float64(c.fit + c.preemptFit)
 		}
 	}
-	share := max(e.ensureQueueEstimates(ps.job.Queue).AllowedShare, 0.05)
+	share := e.allowedShare(ps.job.Queue)
 	minNames := affordableQueryWorkers(policy.PlacementService)
 	var names []string
 	enough := func(minNames int) bool {
 		return len(names) >= maxQueryWorkers || (expectedFit >= float64(need) && len(names) >= minNames)
 	}
+	var claimed []*candidate
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
-		if _, ok := sp.tickets[c.worker.ID]; !ok && !sp.rejected[c.worker.ID] {
-			names = append(names, c.worker.ID)
-			expectedFit += float64(c.fit) * share
+		if !sp.answered(c.worker) {
+			if fit := unclaimedFit(p, ps, c); fit > 0 {
+				names = append(names, c.worker.ID)
+				expectedFit += float64(fit) * share
+			} else {
+				claimed = append(claimed, c)
+			}
 		}
 		return !enough(minNames)
 	})
-	for _, c := range full {
+	for _, c := range append(claimed, full...) {
 		if enough(0) {
 			break
 		}
-		if _, ok := sp.tickets[c.worker.ID]; !ok && !sp.rejected[c.worker.ID] {
+		if !sp.answered(c.worker) {
 			names = append(names, c.worker.ID)
 			expectedFit += share
 		}
@@ -249,6 +256,13 @@
 	return names
 }
 
+// answered reports whether a query about the step has been answered for the
+// worker.
+func (sp *stepPlacement) answered(w *worker) bool {
+	_, allowed := sp.tickets[w.ID]
+	return allowed || sp.rejected[w.ID]
+}
+
 // placeTasks places idle tasks of the step on the candidates and returns how
 // many. A gang is placed as a whole or not at all, all its tasks under one run
 // number. The starts are ordered when the batch is stored. sp holds the
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -54,6 +54,7 @@
 	queriedBy      *placementClient // client of the query in flight
 	purpose        QueryPurpose     // of the newest query
 	nextQuery      time.Time        // earliest time of the next query
+	claimedOn      []*worker        // workers with a claim of the step
 	reservedOn     []*worker        // workers with a reservation for the step
 	nextPreemption time.Time        // earliest time of the next preemption for the step
 }
@@ -200,6 +201,7 @@
 	sp := j.stepPlacement(q.Round, q.Step)
 	e.recordClientResult(now, q.Client, sp, ok)
 	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
+	sp.releaseClaims(id)
 	if !ok {
 		sp.nextQuery = now.Add(queryRetryPause)
 		e.addEvent("advice-failed", id, 0, q.Client, "", now.Sub(sp.queriedAt))
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -115,3 +115,37 @@
 	}
 	return e
 }
+
+// TestQueriesInFlightNameOtherWorkers guards against steps that query for the
+// same workers at the same time. When the answers came, the first step took the
+// capacity and the others had to query again.
+func TestQueriesInFlightNameOtherWorkers(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 48, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+	e.HandleProbeResult(testTime(0), "i1", true)
+	e.HandleProbeResult(testTime(0), "i2", true)
+	for _, id := range []string{"a", "b"} {
+		e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(id, "q", taskStep(1, 30000, 400))})
+	}
+	e.Tick(testTime(0))
+	e.Schedule(testTime(0))
+	queries := e.TakeOutput().Queries
+	is.Equal(len(queries), 2)
+	named := map[string]bool{}
+	for _, w := range queries[0].Workers {
+		named[w] = true
+	}
+	for _, w := range queries[1].Workers {
+		if named[w] {
+			t.Errorf("both queries name worker %q", w)
+		}
+	}
+	// Without an answer the claims expire, and the workers may be named again.
+	e.AddJob(testTime(3000), &flow.Job{Spec: newJobSpec("c", "q", taskStep(1, 30000, 400))})
+	e.Schedule(testTime(3000))
+	queries = e.TakeOutput().Queries
+	is.Equal(len(queries), 1)
+	for _, w := range queries[0].Workers {
+		is.True(named[w])
+	}
+}
