state/sched: a step without room waits for it instead of querying on

Cause: a step that was not placed queried for workers again and again, also about claimed and full ones, although it knew many that may run it. Gangs go first, so they took all long queries and batch steps none.

Once the workers that may run a step would have room for twice its tasks if they were idle, the step waits for room there. It then queries further only about workers with unclaimed room, and a gang only if it would fit as a whole.

TestStepWithoutRoomDoesNotQueryOn failed before (18 queries instead of 1).

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -211,21 +211,28 @@
 	return names[:min(len(names), maxQueryWorkers)]
 }
 
+// knownRoomFactor is how many times the tasks of a step must fit on the workers
+// that may run it, if these were idle, for the step to wait for free capacity
+// there instead of querying about workers without any.
+const knownRoomFactor = 2
+
 // workersToQuery returns the IDs of workers to query for the first time for a
 // step. They are enough workers for the tasks, given their free capacity and
 // the share of workers that are allowed in this queue, and more while naming
 // them costs little beside the fixed time of the call. Workers come first whose
-// free capacity no other step is about to use, then other workers with free
-// capacity, then full ones.
+// free capacity no other step is about to use. Other workers follow only until
+// the step knows enough workers on which it may wait for capacity.
 func (e *Engine) workersToQuery(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, sp *stepPlacement, permitted []*candidate, need int) []string {
-	expectedFit := 0.0
-	if st.Gang {
-		// These workers are queried again once the whole gang fits. Until then,
-		// further workers are needed only for the tasks that do not fit on these.
-		for _, c := range permitted {
+	expectedFit, idleFit := 0.0, 0
+	for _, c := range permitted {
+		idleFit += fitCount(c.worker.Capacity, taskSize(st), len(ps.idleTasks))
+		if st.Gang {
+			// These workers are queried again once the whole gang fits. Until then,
+			// further workers are needed only for the tasks that do not fit on these.
 			expectedFit += float64(c.fit + c.preemptFit)
 		}
 	}
+	knowsEnough := idleFit >= knownRoomFactor*len(ps.idleTasks)
 	share := e.allowedShare(ps.job.Queue)
 	minNames := affordableQueryWorkers(policy.PlacementService)
 	var names []string
@@ -244,6 +251,12 @@
 		}
 		return !enough(minNames)
 	})
+	if knowsEnough {
+		if st.Gang && expectedFit < float64(need) {
+			return nil
+		}
+		return names
+	}
 	for _, c := range append(claimed, full...) {
 		if enough(0) {
 			break
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -149,3 +149,50 @@
 		is.True(named[w])
 	}
 }
+
+// TestStepWithoutRoomDoesNotQueryOn guards against steps that use up the
+// placement clients while no worker has room for them. Once a step knows enough
+// workers that may run it, it waits for room there.
+func TestStepWithoutRoomDoesNotQueryOn(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang=%v", gang), func(t *testing.T) {
+			is := is.New(t)
+			e := readyEngine(t, 100, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+			setUsed := func(cpu int64) {
+				for _, w := range e.workersByID {
+					w.used = work.Size{CPU: cpu, Memory: 1000}
+					e.index.update(w)
+				}
+			}
+			setUsed(23500)
+			st := taskStep(4, 9000, 400)
+			st.Gang = gang
+			now := testTime(0)
+			e.AddJob(now, &flow.Job{Spec: newJobSpec("a", "q", st)})
+			queries := 0
+			schedule := func() {
+				e.Tick(now)
+				e.Schedule(now)
+				for _, q := range e.TakeOutput().Queries {
+					queries++
+					now = now.Add(420 * time.Millisecond)
+					tickets := map[string]string{}
+					for _, w := range q.Workers {
+						tickets[w] = "t"
+					}
+					e.HandleQueryResult(now, q, tickets, 2*time.Second, true)
+				}
+				now = now.Add(10 * time.Millisecond)
+			}
+			for range 100 {
+				schedule()
+			}
+			is.Equal(queries, 1)
+			setUsed(18000)
+			for range 100 {
+				schedule()
+			}
+			is.Equal(len(e.jobs["a"].runs), 4)
+		})
+	}
+}
