state/sched: queries about a gang run at the same time

A gang of 20 tasks there needs tickets for some 60 to 90 workers, so two or three queries of 0.49 s one after another.

A gang may now have up to three queries in flight, each through another client, so that their tickets arrive together. A step holds the clients of its queries instead of one client; the failure of one client ends the wait for that query only.

TestGangQueriesRunAtTheSameTime failed before (1 query).

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -58,11 +58,11 @@
 			return true
 		}
 	}
-	if sp.querying {
+	if len(sp.queriedBy) > 0 {
 		// A gang's reservations are renewed while the query is in flight.
 		return ps.job.Steps[ps.step].Gang && len(sp.tickets) > 0
 	}
-	return !p.now.Before(sp.nextQuery) && e.pickClient(p.now, queryDuration(service, minQueryWorkers)) != nil
+	return !p.now.Before(sp.nextQuery) && e.pickClient(p.now, queryDuration(service, minQueryWorkers), nil) != nil
 }
 
 // pendingStep is a step with tasks that may start.
@@ -176,23 +176,23 @@
 		return
 	}
 	chosen := e.reserveAndPreempt(p, ps, st, permitted, need)
-	if sp.querying {
+	if len(sp.queriedBy) > 0 {
 		return
 	}
 	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang)
 	if len(chosen) == 0 {
 		workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need)
 	}
-	if len(workers) > 0 && e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers) {
-		e.claimWorkers(p, ps, workers, need, p.now.Add(queryDuration(policy.PlacementService, len(workers))+queryTimeoutSlack))
+	if named := e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers); len(named) > 0 {
+		e.claimWorkers(p, ps, named, need, p.now.Add(queryDuration(policy.PlacementService, maxQueryWorkers)+queryTimeoutSlack))
 	}
 }
 
 // workersToRenew returns the IDs of the chosen workers whose tickets are no
-// longer valid, up to maxQueryWorkers. A gang starts as a whole, so its tickets
+// longer valid, as many as may be named at once. A gang starts as a whole, so its tickets
 // must be valid at the same time: if it lacks one, the tickets that would expire
 // before the answer are renewed too. The others are not, so that a gang on more
-// workers than one query may name gets all its tickets by consecutive queries.
+// workers than may be named at once gets all its tickets by consecutive queries.
 func workersToRenew(p *schedulingPass, sp *stepPlacement, service flow.PlacementService, chosen []*candidate, gang bool) []string {
 	answeredBy := p.now.Add(maxLongQueryWait + queryDuration(service, min(len(chosen), maxQueryWorkers)))
 	var expired, expiring []string
@@ -208,7 +208,7 @@
 		return nil
 	}
 	names := append(expired, expiring...)
-	return names[:min(len(names), maxQueryWorkers)]
+	return names[:min(len(names), maxNamedWorkers(gang))]
 }
 
 // knownRoomFactor is how many times the tasks of a step must fit on the workers
@@ -234,10 +234,10 @@
 	}
 	knowsEnough := idleFit >= knownRoomFactor*len(ps.idleTasks)
 	share := e.allowedShare(ps.job.Queue)
-	minNames := affordableQueryWorkers(policy.PlacementService)
+	minNames, maxNamed := affordableQueryWorkers(policy.PlacementService), maxNamedWorkers(st.Gang)
 	var names []string
 	enough := func(minNames int) bool {
-		return len(names) >= maxQueryWorkers || (expectedFit >= float64(need) && len(names) >= minNames)
+		return len(names) >= maxNamed || (expectedFit >= float64(need) && len(names) >= minNames)
 	}
 	var claimed []*candidate
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
@@ -269,6 +269,15 @@
 	return names
 }
 
+// maxNamedWorkers returns how many workers the queries about a step that are in
+// flight at the same time may name.
+func maxNamedWorkers(gang bool) int {
+	if gang {
+		return maxGangQueries * maxQueryWorkers
+	}
+	return maxQueryWorkers
+}
+
 // answered reports whether a query about the step has been answered for the
 // worker.
 func (sp *stepPlacement) answered(w *worker) bool {
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -15,6 +16,10 @@
 	// as many with free capacity are left.
 	maxQueryWorkers = 30
 	minQueryWorkers = 4
+	// maxGangQueries bounds the queries about a gang that are in flight at the
+	// same time. All workers of a gang need valid tickets at the same time, and
+	// consecutive queries may take longer than a ticket is valid.
+	maxGangQueries = 3
 	// maxNamingCostShare is the share of a query's fixed time that naming more
 	// workers than needed may add to it. A second query would cost the whole
 	// fixed time.
@@ -47,16 +52,15 @@
 
 // stepPlacement is the state of the placement of one step of a round.
 type stepPlacement struct {
-	tickets        map[string]ticket // by ID of the worker, expired ones included
-	rejected       map[string]bool   // IDs of workers that may not run the step
-	querying       bool              // a query about the step is in flight
-	queriedAt      time.Time
-	queriedBy      *placementClient // client of the query in flight
-	purpose        QueryPurpose     // of the newest query
-	nextQuery      time.Time        // earliest time of the next query
-	claimedOn      []*worker        // workers with a claim of the step
-	reservedOn     []*worker        // workers with a reservation for the step
-	nextPreemption time.Time        // earliest time of the next preemption for the step
+	tickets        map[string]ticket         // by ID of the worker, expired ones included
+	rejected       map[string]bool           // IDs of workers that may not run the step
+	queriedBy      map[*placementClient]bool // clients with a query about the step in flight, one each
+	queriedAt      time.Time                 // when the newest queries were sent
+	purpose        QueryPurpose              // of the newest queries
+	nextQuery      time.Time                 // earliest time of the next query
+	claimedOn      []*worker                 // workers with a claim of the step
+	reservedOn     []*worker                 // workers with a reservation for the step
+	nextPreemption time.Time                 // earliest time of the next preemption for the step
 }
 
 // ticket permits a step to run on one worker.
@@ -95,6 +99,9 @@
 	e.clientsByName = e.clientsByName[:0]
 	for n, c := range e.clients {
 		if !present[n] {
+			for sp := range c.inFlight {
+				delete(sp.queriedBy, c)
+			}
 			delete(e.clients, n)
 			continue
 		}
@@ -109,7 +116,7 @@
 	}
 	sp := j.placements[round][step]
 	if sp == nil {
-		sp = &stepPlacement{tickets: map[string]ticket{}, rejected: map[string]bool{}}
+		sp = &stepPlacement{tickets: map[string]ticket{}, rejected: map[string]bool{}, queriedBy: map[*placementClient]bool{}}
 		j.placements[round][step] = sp
 	}
 	return sp
@@ -118,7 +125,8 @@
 // pickClient returns the client that should answer a query of that duration
 // first, or nil if the wait would be too long at every healthy client. Long
 // queries use only a part of the clients, so that quick ones find a free one.
-func (e *Engine) pickClient(now time.Time, duration time.Duration) *placementClient {
+// The clients in exclude are not picked.
+func (e *Engine) pickClient(now time.Time, duration time.Duration, exclude map[*placementClient]bool) *placementClient {
 	healthy := make([]*placementClient, 0, len(e.clientsByName))
 	for _, c := range e.clientsByName {
 		if c.healthy {
@@ -131,7 +139,7 @@
 	}
 	var best *placementClient
 	for _, c := range healthy {
-		if best == nil || c.busyUntil.Before(best.busyUntil) {
+		if !exclude[c] && (best == nil || c.busyUntil.Before(best.busyUntil)) {
 			best = c
 		}
 	}
@@ -144,32 +152,37 @@
 // quickOnlyClients returns how many of the healthy clients get no long queries.
 func quickOnlyClients(healthy int) int { return (healthy + 1) / 3 }
 
-// query emits a query about a step and the named workers, and reports whether
-// it did. It does not while a query about the step is in flight, during the
-// pause after a failed one, or while every client is busy for too long.
-func (e *Engine) query(now time.Time, j *job, round, step int, service flow.PlacementService, workers []string) bool {
+// query emits queries about a step and the named workers, each about up to
+// maxQueryWorkers of them through another client, and returns the workers that
+// are named in a query. It emits none while a query about the step is in flight
+// or during the pause after a failed one, and no more than there are clients
+// that answer soon.
+func (e *Engine) query(now time.Time, j *job, round, step int, service flow.PlacementService, workers []string) (named []string) {
 	sp := j.stepPlacement(round, step)
-	if sp.querying || now.Before(sp.nextQuery) || len(workers) == 0 {
-		return false
-	}
-	duration := queryDuration(service, len(workers))
-	c := e.pickClient(now, duration)
-	if c == nil {
-		return false
+	if len(sp.queriedBy) > 0 || now.Before(sp.nextQuery) {
+		return nil
 	}
-	if c.busyUntil.Before(now) {
-		c.busyUntil = now
+	for part := range slices.Chunk(workers, maxQueryWorkers) {
+		duration := queryDuration(service, len(part))
+		c := e.pickClient(now, duration, sp.queriedBy)
+		if c == nil {
+			break
+		}
+		if c.busyUntil.Before(now) {
+			c.busyUntil = now
+		}
+		c.busyUntil = c.busyUntil.Add(duration)
+		c.inFlight[sp] = true
+		sp.queriedBy[c], sp.queriedAt = true, now
+		var full []string
+		sp.purpose, full = e.recordQuery(now, j, TaskID{Job: j.ID, Round: round, Step: step}, sp, part, duration)
+		e.output.Queries = append(e.output.Queries, PlacementQuery{
+			Client: c.name, Job: j.ID, Round: round, Step: step, Workers: part, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
+			Quick: duration <= maxQuickQuery, Queue: j.Queue, SentAt: now, full: full,
+		})
+		named = append(named, part...)
 	}
-	c.busyUntil = c.busyUntil.Add(duration)
-	c.inFlight[sp] = true
-	sp.querying, sp.queriedAt, sp.queriedBy = true, now, c
-	var full []string
-	sp.purpose, full = e.recordQuery(now, j, TaskID{Job: j.ID, Round: round, Step: step}, sp, workers, duration)
-	e.output.Queries = append(e.output.Queries, PlacementQuery{
-		Client: c.name, Job: j.ID, Round: round, Step: step, Workers: workers, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
-		Quick: duration <= maxQuickQuery, Queue: j.Queue, SentAt: now, full: full,
-	})
-	return true
+	return named
 }
 
 // affordableQueryWorkers returns how many workers a query should name even if
@@ -201,7 +214,9 @@
 	sp := j.stepPlacement(q.Round, q.Step)
 	e.recordClientResult(now, q.Client, sp, ok)
 	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
-	sp.releaseClaims(id)
+	if len(sp.queriedBy) == 0 {
+		sp.releaseClaims(id)
+	}
 	if !ok {
 		sp.nextQuery = now.Add(queryRetryPause)
 		e.addEvent("advice-failed", id, 0, q.Client, "", now.Sub(sp.queriedAt))
@@ -221,13 +236,13 @@
 // which it has queries in flight may be queried through other clients.
 func (e *Engine) recordClientResult(now time.Time, name string, sp *stepPlacement, ok bool) {
 	c := e.clients[name]
-	if sp != nil && (sp.queriedBy == nil || sp.queriedBy == c || sp.queriedBy.name == name) {
-		sp.querying, sp.queriedBy = false, nil
-	}
 	if c == nil {
 		return
 	}
 	delete(c.inFlight, sp)
+	if sp != nil {
+		delete(sp.queriedBy, c)
+	}
 	if ok {
 		c.healthy, c.failures = true, 0
 		if len(c.inFlight) == 0 {
@@ -246,9 +261,7 @@
 	c.nextProbe = now.Add(min(probeRetryPause<<min(c.failures, 4), maxProbeRetryPause))
 	c.failures++
 	for sp := range c.inFlight {
-		if sp.queriedBy == c {
-			sp.querying, sp.queriedBy = false, nil
-		}
+		delete(sp.queriedBy, c)
 	}
 	clear(c.inFlight)
 	c.busyUntil = now
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -196,3 +196,42 @@
 		})
 	}
 }
+
+// TestGangQueriesRunAtTheSameTime guards against a gang whose first tickets
+// expire before its last ones arrive.
+func TestGangQueriesRunAtTheSameTime(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 200, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 1500})
+	names := []string{"i0", "i1", "i2", "i3", "i4", "i5"}
+	e.SetPlacementClients("i0", names)
+	for _, name := range names {
+		e.HandleProbeResult(testTime(0), name, true)
+	}
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("a", "q", gangStep(60, 20000, 400))})
+	e.Schedule(testTime(0))
+	queries := e.TakeOutput().Queries
+	is.Equal(len(queries), maxGangQueries)
+	clients, workers := map[string]bool{}, map[string]bool{}
+	for _, q := range queries {
+		clients[q.Client] = true
+		for _, w := range q.Workers {
+			workers[w] = true
+		}
+	}
+	is.Equal(len(clients), maxGangQueries)
+	is.Equal(len(workers), maxGangQueries*maxQueryWorkers)
+	// One client fails: the step is queried for again when the others have
+	// answered.
+	e.HandleQueryResult(testTime(100), queries[0], nil, 0, false)
+	e.Schedule(testTime(300))
+	is.Equal(len(e.TakeOutput().Queries), 0)
+	for _, q := range queries[1:] {
+		tickets := map[string]string{}
+		for _, w := range q.Workers {
+			tickets[w] = "t"
+		}
+		e.HandleQueryResult(testTime(420), q, tickets, 1500*time.Millisecond, true)
+	}
+	e.Schedule(testTime(420))
+	is.Equal(len(e.jobs["a"].runs), 60)
+}
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -141,11 +141,11 @@
 		return WaitNoRoom, st.Gang || mayFit
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
-	clientFree := e.pickClient(now, queryDuration(service, minQueryWorkers)) != nil
+	clientFree := e.pickClient(now, queryDuration(service, minQueryWorkers), nil) != nil
 	switch {
-	case sp.querying && sp.purpose == QueryRenewal:
+	case len(sp.queriedBy) > 0 && sp.purpose == QueryRenewal:
 		return WaitRenewing, st.Gang
-	case sp.querying:
+	case len(sp.queriedBy) > 0:
 		return WaitQuerying, st.Gang && len(sp.tickets) > 0
 	case now.Before(sp.nextQuery):
 		return WaitBlocked, false
