state/sched: gangs without room leave placement clients to other steps

Cause: a gang that doesn't fit anywhere queries all the same, to know workers on which it may wait. Nothing can start when the answers come, and many gangs do it at once.

On a site with more workers than its queries may name, such a gang now queries only if it may reserve capacity partially. Room for a gang is counted over all workers and not only over those named first, so wide gangs still query when the site has room. A search that found none is repeated after 0.1 s.

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -62,6 +62,9 @@
 		// A gang's reservations are renewed while the query is in flight.
 		return ps.job.Steps[ps.step].Gang && len(sp.tickets) > 0
 	}
+	if len(sp.tickets) == 0 && p.now.Before(sp.nextSearch) {
+		return false
+	}
 	return !p.now.Before(sp.nextQuery) && e.pickClient(p.now, queryDuration(service, minQueryWorkers), nil) != nil
 }
 
@@ -181,7 +184,12 @@
 	}
 	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang)
 	if len(chosen) == 0 {
-		workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need)
+		if p.now.Before(sp.nextSearch) {
+			return
+		}
+		if workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need); len(workers) == 0 {
+			sp.nextSearch = p.now.Add(searchPause)
+		}
 	}
 	if named := e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers); len(named) > 0 {
 		e.claimWorkers(p, ps, named, need, p.now.Add(queryDuration(policy.PlacementService, maxQueryWorkers)+queryTimeoutSlack))
@@ -222,6 +230,10 @@
 // them costs little beside the fixed time of the call. Workers come first whose
 // free capacity no other step is about to use. Other workers follow only until
 // the step knows enough workers on which it may wait for capacity.
+//
+// A gang that does not fit into the free capacity can't start when its queries
+// are answered. It queries if it may reserve capacity partially, and if its
+// queries may name all workers, which bounds what they cost.
 func (e *Engine) workersToQuery(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, sp *stepPlacement, permitted []*candidate, need int) []string {
 	expectedFit, idleFit := 0.0, 0
 	for _, c := range permitted {
@@ -237,7 +249,7 @@
 	minNames, maxNamed := affordableQueryWorkers(policy.PlacementService), maxNamedWorkers(st.Gang)
 	var names []string
 	enough := func(minNames int) bool {
-		return len(names) >= maxNamed || (expectedFit >= float64(need) && len(names) >= minNames)
+		return (len(names) >= maxNamed && !st.Gang) || (expectedFit >= float64(need) && len(names) >= minNames)
 	}
 	var claimed []*candidate
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
@@ -251,14 +263,11 @@
 		}
 		return !enough(minNames)
 	})
-	if knowsEnough {
-		if st.Gang && expectedFit < float64(need) {
-			return nil
-		}
-		return names
+	if st.Gang && expectedFit < float64(need) && (knowsEnough || (len(e.workersByID) > maxNamed && !e.admitPartialReservation(p.now, ps))) {
+		return nil
 	}
 	for _, c := range append(claimed, full...) {
-		if enough(0) {
+		if knowsEnough || len(names) >= maxNamed || enough(0) {
 			break
 		}
 		if !sp.answered(c.worker) {
@@ -266,7 +275,7 @@
 			expectedFit += share
 		}
 	}
-	return names
+	return names[:min(len(names), maxNamed)]
 }
 
 // maxNamedWorkers returns how many workers the queries about a step that are in
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -44,6 +44,9 @@
 	// queryRetryPause is the pause after a failed query until its step is
 	// queried again.
 	queryRetryPause = 100 * time.Millisecond
+	// searchPause is the pause after a search for workers to query that found
+	// none, because a search may look at all workers.
+	searchPause = 100 * time.Millisecond
 	// probeRetryPause is the pause before a client that failed is probed. It
 	// doubles with each further failure up to maxProbeRetryPause.
 	probeRetryPause    = 200 * time.Millisecond
@@ -58,6 +61,7 @@
 	queriedAt      time.Time                 // when the newest queries were sent
 	purpose        QueryPurpose              // of the newest queries
 	nextQuery      time.Time                 // earliest time of the next query
+	nextSearch     time.Time                 // earliest time of the next search for workers to query
 	claimedOn      []*worker                 // workers with a claim of the step
 	reservedOn     []*worker                 // workers with a reservation for the step
 	nextPreemption time.Time                 // earliest time of the next preemption for the step
