state/sched: one gang at a time reserves capacity partially

Callers saw late profiles. Two gangs that each hold a part of the capacity that they need keep it from each other and from all other steps of their priority and below; the more of them, the more capacity is idle.

With one, the first gang gets all that becomes free and starts earliest; the others follow.

TestGangStartsDespiteStreamOfShortJobs still passes.

--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -21,7 +21,7 @@
 	minPreemptionAge = 300 * time.Millisecond
 	// maxPartialReservations is the number of steps that may have a partial
 	// reservation at a time, one that does not suffice for the step yet.
-	maxPartialReservations = 2
+	maxPartialReservations = 1
 )
 
 // reservation is capacity on a worker that is reserved for a pending step.
