state/sched: queues share the placement clients, quick queries keep what they use

The clients for long queries are busy to 100 %, those kept for quick queries to 4 to 8 %.

Causes: steps are served by priority, and a queue whose steps always have something to query takes each client that becomes free. And a third of the clients was kept for quick queries, ten of thirty, whatever their load.

A queue now leaves clients to others beyond its equal share, as long as steps of a queue with less than its share find none. Without such demand a queue may use all. Clients kept for quick queries follow their load over the last seconds: twice that, and one more, a third at most.

TestQueuesShareClients failed before (0 queries of the second queue beside 56 of the first).

--- /dev/null
+++ b/internal/state/sched/clients.go
@@ -0,0 +1,92 @@
+package sched
+
+import (
+	"math"
+	"time"
+)
+
+// Limits of the use of placement clients.
+const (
+	// maxQuickOnlyShare is the largest share of the healthy clients that gets no
+	// long queries.
+	maxQuickOnlyShare = 1.0 / 3
+	// quickLoadFactor is how many clients are kept for quick queries for each
+	// client that these have kept busy.
+	quickLoadFactor = 2
+	// quickLoadWindow is the time constant of the load by quick queries.
+	quickLoadWindow = 4 * time.Second
+	// clientDemandTTL is how long a queue counts as in need of a client after one
+	// of its steps found none.
+	clientDemandTTL = 200 * time.Millisecond
+)
+
+// clientDemand records what the queues need placement clients for.
+type clientDemand struct {
+	quickSeconds float64              // duration of the quick queries, decayed over quickLoadWindow
+	quickAt      time.Time            // when quickSeconds was last updated
+	deniedAt     map[string]time.Time // by queue, when a step last found no client for a long query
+}
+
+// addQuickQuery records the duration of a quick query that was sent.
+func (d *clientDemand) addQuickQuery(now time.Time, duration time.Duration) {
+	d.quickSeconds = d.quickSecondsAt(now) + duration.Seconds()
+	d.quickAt = now
+}
+
+func (d *clientDemand) quickSecondsAt(now time.Time) float64 {
+	return d.quickSeconds * math.Exp(-float64(now.Sub(d.quickAt))/float64(quickLoadWindow))
+}
+
+// quickOnlyClients returns how many of the healthy clients get no long queries.
+// A new leader keeps the largest share until it has measured the load.
+func (e *Engine) quickOnlyClients(now time.Time, healthy int) int {
+	most := int(math.Round(maxQuickOnlyShare * float64(healthy)))
+	if now.Sub(e.startedAt) < quickLoadWindow {
+		return most
+	}
+	load := e.demand.quickSecondsAt(now) / quickLoadWindow.Seconds()
+	return min(most, 1+int(math.Ceil(quickLoadFactor*load)))
+}
+
+// exceedsClientShare reports whether the queue has its share of the clients for
+// long queries, while steps of a queue with less than that find none. The shares
+// of the queues that need clients are equal, so that the steps of one queue
+// can't keep the others from theirs.
+func (e *Engine) exceedsClientShare(now time.Time, queue string, clients int) bool {
+	used := map[string]int{queue: 0}
+	for _, c := range e.clientsByName {
+		for _, q := range c.inFlight {
+			if !q.quick {
+				used[q.queue]++
+			}
+		}
+	}
+	needy := false
+	for other, at := range e.demand.deniedAt {
+		if now.Sub(at) > clientDemandTTL {
+			delete(e.demand.deniedAt, other)
+			continue
+		}
+		used[other] += 0
+		needy = needy || other != queue
+	}
+	if !needy {
+		return false
+	}
+	share := (clients + len(used) - 1) / len(used)
+	if used[queue] < share {
+		return false
+	}
+	for other := range e.demand.deniedAt {
+		if other != queue && used[other] < share {
+			return true
+		}
+	}
+	return false
+}
+
+// noteClientDenied records that a step of the queue found no client for a long
+// query.
+func (e *Engine) noteClientDenied(now time.Time, queue string) {
+	e.demand.deniedAt[queue] = now
+}
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -73,7 +73,8 @@
 	checks               checkQueue
 	index                *workerIndex
 	clients              map[string]*placementClient
-	clientsByName        []*placementClient         // sorted by name
+	clientsByName        []*placementClient // sorted by name
+	demand               clientDemand
 	unsavedJobs          map[*job]bool              // jobs whose progress goes into the next batch
 	removedJobs          []string                   // IDs of jobs whose removal goes into the next batch
 	queueEstimates       map[string]*QueueEstimates // estimates by queue name
@@ -106,7 +107,7 @@
 // jobs, workers or configuration yet.
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
-		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{},
+		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
 		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, partialReservations: map[TaskID]time.Time{},
 	}
 }
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -65,7 +65,20 @@
 	if len(sp.tickets) == 0 && p.now.Before(sp.nextSearch) {
 		return false
 	}
-	return !p.now.Before(sp.nextQuery) && e.pickClient(p.now, queryDuration(service, minQueryWorkers), nil) != nil
+	return !p.now.Before(sp.nextQuery) && e.findsClient(p.now, ps.job.Queue, service)
+}
+
+// findsClient reports whether a client could answer a query of the queue now,
+// and records if none could answer a long one.
+func (e *Engine) findsClient(now time.Time, queue string, service flow.PlacementService) bool {
+	duration := queryDuration(service, minQueryWorkers)
+	if e.pickClient(now, queue, duration, nil) != nil {
+		return true
+	}
+	if duration > maxQuickQuery {
+		e.noteClientDenied(now, queue)
+	}
+	return false
 }
 
 // pendingStep is a step with tasks that may start.
@@ -184,7 +197,7 @@
 	}
 	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang)
 	if len(chosen) == 0 {
-		if p.now.Before(sp.nextSearch) {
+		if p.now.Before(sp.nextSearch) || !e.findsClient(p.now, ps.job.Queue, policy.PlacementService) {
 			return
 		}
 		if workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need); len(workers) == 0 {
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -71,7 +71,7 @@
 			s.Clients++
 		}
 	}
-	s.LongQueryClients = s.Clients - quickOnlyClients(s.Clients)
+	s.LongQueryClients = s.Clients - e.quickOnlyClients(now, s.Clients)
 	return s
 }
 
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -79,8 +79,8 @@
 // leader.
 type placementClient struct {
 	name      string
-	busyUntil time.Time               // when its queries in flight should be answered
-	inFlight  map[*stepPlacement]bool // steps of its queries in flight
+	busyUntil time.Time                        // when its queries in flight should be answered
+	inFlight  map[*stepPlacement]queryInFlight // its queries in flight, by step
 	// healthy means that its newest query or probe was answered. Only healthy
 	// clients get queries; the others are probed.
 	healthy   bool
@@ -89,6 +89,12 @@
 	nextProbe time.Time
 }
 
+// queryInFlight is a query that a placement client has not answered yet.
+type queryInFlight struct {
+	queue string
+	quick bool
+}
+
 // SetPlacementClients sets the instances that can query the placement service.
 // own is the leader's instance, the only one that counts as healthy before it
 // has answered.
@@ -97,7 +103,7 @@
 	for _, n := range names {
 		present[n] = true
 		if e.clients[n] == nil {
-			e.clients[n] = &placementClient{name: n, inFlight: map[*stepPlacement]bool{}, healthy: n == own}
+			e.clients[n] = &placementClient{name: n, inFlight: map[*stepPlacement]queryInFlight{}, healthy: n == own}
 		}
 	}
 	e.clientsByName = e.clientsByName[:0]
@@ -128,9 +134,10 @@
 
 // pickClient returns the client that should answer a query of that duration
 // first, or nil if the wait would be too long at every healthy client. Long
-// queries use only a part of the clients, so that quick ones find a free one.
-// The clients in exclude are not picked.
-func (e *Engine) pickClient(now time.Time, duration time.Duration, exclude map[*placementClient]bool) *placementClient {
+// queries use only a part of the clients, so that quick ones find a free one,
+// and no more than the queue's share while other queues need clients. The
+// clients in exclude are not picked.
+func (e *Engine) pickClient(now time.Time, queue string, duration time.Duration, exclude map[*placementClient]bool) *placementClient {
 	healthy := make([]*placementClient, 0, len(e.clientsByName))
 	for _, c := range e.clientsByName {
 		if c.healthy {
@@ -139,7 +146,10 @@
 	}
 	wait := maxQuickQueryWait
 	if duration > maxQuickQuery {
-		healthy, wait = healthy[quickOnlyClients(len(healthy)):], maxLongQueryWait
+		healthy, wait = healthy[e.quickOnlyClients(now, len(healthy)):], maxLongQueryWait
+		if e.exceedsClientShare(now, queue, len(healthy)) {
+			return nil
+		}
 	}
 	var best *placementClient
 	for _, c := range healthy {
@@ -153,9 +163,6 @@
 	return best
 }
 
-// quickOnlyClients returns how many of the healthy clients get no long queries.
-func quickOnlyClients(healthy int) int { return (healthy + 1) / 3 }
-
 // query emits queries about a step and the named workers, each about up to
 // maxQueryWorkers of them through another client, and returns the workers that
 // are named in a query. It emits none while a query about the step is in flight
@@ -168,21 +175,28 @@
 	}
 	for part := range slices.Chunk(workers, maxQueryWorkers) {
 		duration := queryDuration(service, len(part))
-		c := e.pickClient(now, duration, sp.queriedBy)
+		c := e.pickClient(now, j.Queue, duration, sp.queriedBy)
 		if c == nil {
+			if len(named) == 0 && duration > maxQuickQuery {
+				e.noteClientDenied(now, j.Queue)
+			}
 			break
 		}
 		if c.busyUntil.Before(now) {
 			c.busyUntil = now
 		}
 		c.busyUntil = c.busyUntil.Add(duration)
-		c.inFlight[sp] = true
+		quick := duration <= maxQuickQuery
+		if quick {
+			e.demand.addQuickQuery(now, duration)
+		}
+		c.inFlight[sp] = queryInFlight{queue: j.Queue, quick: quick}
 		sp.queriedBy[c], sp.queriedAt = true, now
 		var full []string
 		sp.purpose, full = e.recordQuery(now, j, TaskID{Job: j.ID, Round: round, Step: step}, sp, part, duration)
 		e.output.Queries = append(e.output.Queries, PlacementQuery{
 			Client: c.name, Job: j.ID, Round: round, Step: step, Workers: part, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
-			Quick: duration <= maxQuickQuery, Queue: j.Queue, SentAt: now, full: full,
+			Quick: quick, Queue: j.Queue, SentAt: now, full: full,
 		})
 		named = append(named, part...)
 	}
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -141,7 +141,7 @@
 		return WaitNoRoom, st.Gang || mayFit
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
-	clientFree := e.pickClient(now, queryDuration(service, minQueryWorkers), nil) != nil
+	clientFree := e.pickClient(now, ps.job.Queue, queryDuration(service, minQueryWorkers), nil) != nil
 	switch {
 	case len(sp.queriedBy) > 0 && sp.purpose == QueryRenewal:
 		return WaitRenewing, st.Gang
