--- a/internal/state/sched/backlog_test.go
+++ b/internal/state/sched/backlog_test.go
@@ -57,7 +57,7 @@
 		is.Equal(n, 1)
 	}
 	e.AddJob(now, &flow.Job{Spec: newJobSpec("b", "q", taskStep(1, 1000, 400))})
-	is.True(e.query(now, e.jobs["b"], 0, 0, quick, []string{"w00"}))
+	is.Equal(len(e.query(now, e.jobs["b"], 0, 0, quick, []string{"w00"})), 1)
 	queries := e.TakeOutput().Queries
 	is.Equal(len(queries), 1)
 	is.True(queries[0].Quick)
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -79,11 +79,27 @@
 			return true
 		}
 	}
-	if sp.querying {
+	if len(sp.queriedBy) > 0 {
 		// A gang's reservations are renewed while the query is in flight.
 		return ps.job.Steps[ps.step].Gang && len(sp.tickets) > 0
 	}
-	return !p.now.Before(sp.nextQuery) && e.pickClient(p.now, queryDuration(service, minQueryWorkers)) != nil
+	if len(sp.tickets) == 0 && p.now.Before(sp.nextSearch) {
+		return false
+	}
+	return !p.now.Before(sp.nextQuery) && e.findsClient(p.now, ps.job.Queue, service)
+}
+
+// findsClient reports whether a client could answer a query of the queue now,
+// and records if none could answer a long one.
+func (e *Engine) findsClient(now time.Time, queue string, service flow.PlacementService) bool {
+	duration := queryDuration(service, minQueryWorkers)
+	if e.pickClient(now, queue, duration, nil) != nil {
+		return true
+	}
+	if duration > maxQuickQuery {
+		e.noteClientDenied(now, queue)
+	}
+	return false
 }
 
 // pendingStep is a step with tasks that may start.
@@ -197,75 +213,119 @@
 		return
 	}
 	chosen := e.reserveAndPreempt(p, ps, st, permitted, need)
-	if sp.querying {
+	if len(sp.queriedBy) > 0 {
 		return
 	}
-	workers := workersToRenew(p, sp, chosen, st.Gang)
+	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang)
 	if len(chosen) == 0 {
-		workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need)
+		if p.now.Before(sp.nextSearch) || !e.findsClient(p.now, ps.job.Queue, policy.PlacementService) {
+			return
+		}
+		if workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need); len(workers) == 0 {
+			sp.nextSearch = p.now.Add(searchPause)
+		}
 	}
-	if len(workers) > 0 {
-		e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers)
+	if named := e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers); len(named) > 0 {
+		e.claimWorkers(p, ps, named, need, p.now.Add(queryDuration(policy.PlacementService, maxQueryWorkers)+queryTimeoutSlack))
 	}
 }
 
 // workersToRenew returns the IDs of the chosen workers whose tickets are no
-// longer valid. If a gang lacks one, the tickets of all its workers are fetched
-// together, so that none expires before the last arrives.
-func workersToRenew(p *schedulingPass, sp *stepPlacement, chosen []*candidate, gang bool) []string {
-	var names []string
-	expired := 0
+// longer valid, as many as may be named at once. A gang starts as a whole, so its tickets
+// must be valid at the same time: if it lacks one, the tickets that would expire
+// before the answer are renewed too. The others are not, so that a gang on more
+// workers than may be named at once gets all its tickets by consecutive queries.
+func workersToRenew(p *schedulingPass, sp *stepPlacement, service flow.PlacementService, chosen []*candidate, gang bool) []string {
+	answeredBy := p.now.Add(maxLongQueryWait + queryDuration(service, min(len(chosen), maxQueryWorkers)))
+	var expired, expiring []string
 	for _, c := range chosen {
-		valid := sp.tickets[c.worker.ID].incarnation == c.worker.lastIncarnation && p.now.Before(sp.tickets[c.worker.ID].expires)
-		if !valid {
-			expired++
-		}
-		if (!valid || gang) && len(names) < maxQueryWorkers {
-			names = append(names, c.worker.ID)
+		switch t := sp.tickets[c.worker.ID]; {
+		case t.incarnation != c.worker.lastIncarnation || !p.now.Before(t.expires):
+			expired = append(expired, c.worker.ID)
+		case gang && t.expires.Before(answeredBy):
+			expiring = append(expiring, c.worker.ID)
 		}
 	}
-	if expired == 0 {
+	if len(expired) == 0 {
 		return nil
 	}
-	return names
+	names := append(expired, expiring...)
+	return names[:min(len(names), maxNamedWorkers(gang))]
 }
 
+// knownRoomFactor is how many times the tasks of a step must fit on the workers
+// that may run it, if these were idle, for the step to wait for free capacity
+// there instead of querying about workers without any.
+const knownRoomFactor = 2
+
 // workersToQuery returns the IDs of workers to query for the first time for a
 // step. They are enough workers for the tasks, given their free capacity and
 // the share of workers that are allowed in this queue, and more while naming
-// them costs little beside the fixed time of the call.
+// them costs little beside the fixed time of the call. Workers come first whose
+// free capacity no other step is about to use. Other workers follow only until
+// the step knows enough workers on which it may wait for capacity.
+//
+// A gang that does not fit into the free capacity can't start when its queries
+// are answered. It queries if it may reserve capacity partially, and if its
+// queries may name all workers, which bounds what they cost.
 func (e *Engine) workersToQuery(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, sp *stepPlacement, permitted []*candidate, need int) []string {
-	expectedFit := 0.0
-	if st.Gang {
-		// These workers are queried again once the whole gang fits. Until then,
-		// further workers are needed only for the tasks that do not fit on these.
-		for _, c := range permitted {
+	expectedFit, idleFit := 0.0, 0
+	for _, c := range permitted {
+		idleFit += fitCount(c.worker.Capacity, taskSize(st), len(ps.idleTasks))
+		if st.Gang {
+			// These workers are queried again once the whole gang fits. Until then,
+			// further workers are needed only for the tasks that do not fit on these.
 			expectedFit += float64(c.fit + c.preemptFit)
 		}
 	}
-	share := max(e.ensureQueueEstimates(ps.job.Queue).AllowedShare, 0.05)
-	minNames := affordableQueryWorkers(policy.PlacementService)
+	knowsEnough := idleFit >= knownRoomFactor*len(ps.idleTasks)
+	share := e.allowedShare(ps.job.Queue)
+	minNames, maxNamed := affordableQueryWorkers(policy.PlacementService), maxNamedWorkers(st.Gang)
 	var names []string
 	enough := func(minNames int) bool {
-		return len(names) >= maxQueryWorkers || (expectedFit >= float64(need) && len(names) >= minNames)
+		return (len(names) >= maxNamed && !st.Gang) || (expectedFit >= float64(need) && len(names) >= minNames)
 	}
+	var claimed []*candidate
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
-		if _, ok := sp.tickets[c.worker.ID]; !ok && !sp.rejected[c.worker.ID] {
-			names = append(names, c.worker.ID)
-			expectedFit += float64(c.fit) * share
+		if !sp.answered(c.worker) {
+			if fit := unclaimedFit(p, ps, c); fit > 0 {
+				names = append(names, c.worker.ID)
+				expectedFit += float64(fit) * share
+			} else {
+				claimed = append(claimed, c)
+			}
 		}
 		return !enough(minNames)
 	})
-	for _, c := range full {
-		if enough(0) {
+	if st.Gang && expectedFit < float64(need) && (knowsEnough || (len(e.workersByID) > maxNamed && !e.admitPartialReservation(p.now, ps))) {
+		return nil
+	}
+	for _, c := range append(claimed, full...) {
+		if knowsEnough || len(names) >= maxNamed || enough(0) {
 			break
 		}
-		if _, ok := sp.tickets[c.worker.ID]; !ok && !sp.rejected[c.worker.ID] {
+		if !sp.answered(c.worker) {
 			names = append(names, c.worker.ID)
 			expectedFit += share
 		}
 	}
-	return names
+	return names[:min(len(names), maxNamed)]
+}
+
+// maxNamedWorkers returns how many workers the queries about a step that are in
+// flight at the same time may name.
+func maxNamedWorkers(gang bool) int {
+	if gang {
+		return maxGangQueries * maxQueryWorkers
+	}
+	return maxQueryWorkers
+}
+
+// answered reports whether a query about the step has been answered for the
+// worker.
+func (sp *stepPlacement) answered(w *worker) bool {
+	_, allowed := sp.tickets[w.ID]
+	return allowed || sp.rejected[w.ID]
 }
 
 // placeTasks places idle tasks of the step on the candidates and returns how
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -15,6 +16,10 @@
 	// as many with free capacity are left.
 	maxQueryWorkers = 30
 	minQueryWorkers = 4
+	// maxGangQueries bounds the queries about a gang that are in flight at the
+	// same time. All workers of a gang need valid tickets at the same time, and
+	// consecutive queries may take longer than a ticket is valid.
+	maxGangQueries = 3
 	// maxNamingCostShare is the share of a query's fixed time that naming more
 	// workers than needed may add to it. A second query would cost the whole
 	// fixed time.
@@ -39,6 +44,9 @@
 	// queryRetryPause is the pause after a failed query until its step is
 	// queried again.
 	queryRetryPause = 100 * time.Millisecond
+	// searchPause is the pause after a search for workers to query that found
+	// none, because a search may look at all workers.
+	searchPause = 100 * time.Millisecond
 	// probeRetryPause is the pause before a client that failed is probed. It
 	// doubles with each further failure up to maxProbeRetryPause.
 	probeRetryPause    = 200 * time.Millisecond
@@ -47,16 +55,17 @@
 
 // stepPlacement is the state of the placement of one step of a round.
 type stepPlacement struct {
-	tickets        map[string]ticket // by ID of the worker, expired ones included
-	rejected       map[string]bool   // IDs of workers that may not run the step
-	querying       bool              // a query about the step is in flight
-	queriedAt      time.Time
-	queriedBy      *placementClient // client of the query in flight
-	purpose        QueryPurpose     // of the newest query
-	nextQuery      time.Time        // earliest time of the next query
-	reservedOn     []*worker        // workers with a reservation for the step
-	nextPreemption time.Time        // earliest time of the next preemption for the step
-	lastFailure    time.Time        // when the end of a failed run of the step was last reported
+	tickets        map[string]ticket         // by ID of the worker, expired ones included
+	rejected       map[string]bool           // IDs of workers that may not run the step
+	queriedBy      map[*placementClient]bool // clients with a query about the step in flight, one each
+	queriedAt      time.Time                 // when the newest queries were sent
+	purpose        QueryPurpose              // of the newest queries
+	nextQuery      time.Time                 // earliest time of the next query
+	nextSearch     time.Time                 // earliest time of the next search for workers to query
+	claimedOn      []*worker                 // workers with a claim of the step
+	reservedOn     []*worker                 // workers with a reservation for the step
+	nextPreemption time.Time                 // earliest time of the next preemption for the step
+	lastFailure    time.Time                 // when the end of a failed run of the step was last reported
 }
 
 // ticket permits a step to run on one worker.
@@ -71,8 +80,8 @@
 // leader.
 type placementClient struct {
 	name      string
-	busyUntil time.Time               // when its queries in flight should be answered
-	inFlight  map[*stepPlacement]bool // steps of its queries in flight
+	busyUntil time.Time                        // when its queries in flight should be answered
+	inFlight  map[*stepPlacement]queryInFlight // its queries in flight, by step
 	// healthy means that its newest query or probe was answered. Only healthy
 	// clients get queries; the others are probed.
 	healthy   bool
@@ -81,6 +90,12 @@
 	nextProbe time.Time
 }
 
+// queryInFlight is a query that a placement client has not answered yet.
+type queryInFlight struct {
+	queue string
+	quick bool
+}
+
 // SetPlacementClients sets the instances that can query the placement service.
 // own is the leader's instance, the only one that counts as healthy before it
 // has answered.
@@ -89,12 +104,15 @@
 	for _, n := range names {
 		present[n] = true
 		if e.clients[n] == nil {
-			e.clients[n] = &placementClient{name: n, inFlight: map[*stepPlacement]bool{}, healthy: n == own}
+			e.clients[n] = &placementClient{name: n, inFlight: map[*stepPlacement]queryInFlight{}, healthy: n == own}
 		}
 	}
 	e.clientsByName = e.clientsByName[:0]
 	for n, c := range e.clients {
 		if !present[n] {
+			for sp := range c.inFlight {
+				delete(sp.queriedBy, c)
+			}
 			delete(e.clients, n)
 			continue
 		}
@@ -109,7 +127,7 @@
 	}
 	sp := j.placements[round][step]
 	if sp == nil {
-		sp = &stepPlacement{tickets: map[string]ticket{}, rejected: map[string]bool{}}
+		sp = &stepPlacement{tickets: map[string]ticket{}, rejected: map[string]bool{}, queriedBy: map[*placementClient]bool{}}
 		j.placements[round][step] = sp
 	}
 	return sp
@@ -117,8 +135,10 @@
 
 // pickClient returns the client that should answer a query of that duration
 // first, or nil if the wait would be too long at every healthy client. Long
-// queries use only a part of the clients, so that quick ones find a free one.
-func (e *Engine) pickClient(now time.Time, duration time.Duration) *placementClient {
+// queries use only a part of the clients, so that quick ones find a free one,
+// and no more than the queue's share while other queues need clients. The
+// clients in exclude are not picked.
+func (e *Engine) pickClient(now time.Time, queue string, duration time.Duration, exclude map[*placementClient]bool) *placementClient {
 	healthy := make([]*placementClient, 0, len(e.clientsByName))
 	for _, c := range e.clientsByName {
 		if c.healthy {
@@ -127,11 +147,14 @@
 	}
 	wait := maxQuickQueryWait
 	if duration > maxQuickQuery {
-		healthy, wait = healthy[quickOnlyClients(len(healthy)):], maxLongQueryWait
+		healthy, wait = healthy[e.quickOnlyClients(now, len(healthy)):], maxLongQueryWait
+		if e.exceedsClientShare(now, queue, len(healthy)) {
+			return nil
+		}
 	}
 	var best *placementClient
 	for _, c := range healthy {
-		if best == nil || c.busyUntil.Before(best.busyUntil) {
+		if !exclude[c] && (best == nil || c.busyUntil.Before(best.busyUntil)) {
 			best = c
 		}
 	}
@@ -141,35 +164,44 @@
 	return best
 }
 
-// quickOnlyClients returns how many of the healthy clients get no long queries.
-func quickOnlyClients(healthy int) int { return (healthy + 1) / 3 }
-
-// query emits a query about a step and the named workers, and reports whether
-// it did. It does not while a query about the step is in flight, during the
-// pause after a failed one, or while every client is busy for too long.
-func (e *Engine) query(now time.Time, j *job, round, step int, service flow.PlacementService, workers []string) bool {
+// query emits queries about a step and the named workers, each about up to
+// maxQueryWorkers of them through another client, and returns the workers that
+// are named in a query. It emits none while a query about the step is in flight
+// or during the pause after a failed one, and no more than there are clients
+// that answer soon.
+func (e *Engine) query(now time.Time, j *job, round, step int, service flow.PlacementService, workers []string) (named []string) {
 	sp := j.stepPlacement(round, step)
-	if sp.querying || now.Before(sp.nextQuery) || len(workers) == 0 {
-		return false
-	}
-	duration := queryDuration(service, len(workers))
-	c := e.pickClient(now, duration)
-	if c == nil {
-		return false
+	if len(sp.queriedBy) > 0 || now.Before(sp.nextQuery) {
+		return nil
 	}
-	if c.busyUntil.Before(now) {
-		c.busyUntil = now
+	for part := range slices.Chunk(workers, maxQueryWorkers) {
+		duration := queryDuration(service, len(part))
+		c := e.pickClient(now, j.Queue, duration, sp.queriedBy)
+		if c == nil {
+			if len(named) == 0 && duration > maxQuickQuery {
+				e.noteClientDenied(now, j.Queue)
+			}
+			break
+		}
+		if c.busyUntil.Before(now) {
+			c.busyUntil = now
+		}
+		c.busyUntil = c.busyUntil.Add(duration)
+		quick := duration <= maxQuickQuery
+		if quick {
+			e.demand.addQuickQuery(now, duration)
+		}
+		c.inFlight[sp] = queryInFlight{queue: j.Queue, quick: quick}
+		sp.queriedBy[c], sp.queriedAt = true, now
+		var full []string
+		sp.purpose, full = e.recordQuery(now, j, TaskID{Job: j.ID, Round: round, Step: step}, sp, part, duration)
+		e.output.Queries = append(e.output.Queries, PlacementQuery{
+			Client: c.name, Job: j.ID, Round: round, Step: step, Workers: part, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
+			Quick: quick, Queue: j.Queue, SentAt: now, full: full,
+		})
+		named = append(named, part...)
 	}
-	c.busyUntil = c.busyUntil.Add(duration)
-	c.inFlight[sp] = true
-	sp.querying, sp.queriedAt, sp.queriedBy = true, now, c
-	var full []string
-	sp.purpose, full = e.recordQuery(now, j, TaskID{Job: j.ID, Round: round, Step: step}, sp, workers, duration)
-	e.output.Queries = append(e.output.Queries, PlacementQuery{
-		Client: c.name, Job: j.ID, Round: round, Step: step, Workers: workers, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
-		Quick: duration <= maxQuickQuery, Queue: j.Queue, SentAt: now, full: full,
-	})
-	return true
+	return named
 }
 
 // affordableQueryWorkers returns how many workers a query should name even if
@@ -201,6 +233,9 @@
 	sp := j.stepPlacement(q.Round, q.Step)
 	e.recordClientResult(now, q.Client, sp, ok)
 	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
+	if len(sp.queriedBy) == 0 {
+		sp.releaseClaims(id)
+	}
 	if !ok {
 		sp.nextQuery = now.Add(queryRetryPause)
 		e.addEvent("advice-failed", id, 0, q.Client, "", now.Sub(sp.queriedAt))
@@ -220,13 +255,13 @@
 // which it has queries in flight may be queried through other clients.
 func (e *Engine) recordClientResult(now time.Time, name string, sp *stepPlacement, ok bool) {
 	c := e.clients[name]
-	if sp != nil && (sp.queriedBy == nil || sp.queriedBy == c || sp.queriedBy.name == name) {
-		sp.querying, sp.queriedBy = false, nil
-	}
 	if c == nil {
 		return
 	}
 	delete(c.inFlight, sp)
+	if sp != nil {
+		delete(sp.queriedBy, c)
+	}
 	if ok {
 		c.healthy, c.failures = true, 0
 		if len(c.inFlight) == 0 {
@@ -245,9 +280,7 @@
 	c.nextProbe = now.Add(min(probeRetryPause<<min(c.failures, 4), maxProbeRetryPause))
 	c.failures++
 	for sp := range c.inFlight {
-		if sp.queriedBy == c {
-			sp.querying, sp.queriedBy = false, nil
-		}
+		delete(sp.queriedBy, c)
 	}
 	clear(c.inFlight)
 	c.busyUntil = now
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -115,3 +115,149 @@
 	}
 	return e
 }
+
+// TestQueriesInFlightNameOtherWorkers guards against steps that query for the
+// same workers at the same time. When the answers came, the first step took the
+// capacity and the others had to query again.
+func TestQueriesInFlightNameOtherWorkers(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 48, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+	e.HandleProbeResult(testTime(0), "i1", true)
+	e.HandleProbeResult(testTime(0), "i2", true)
+	for _, id := range []string{"a", "b"} {
+		e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(id, "q", taskStep(1, 30000, 400))})
+	}
+	e.Tick(testTime(0))
+	e.Schedule(testTime(0))
+	queries := e.TakeOutput().Queries
+	is.Equal(len(queries), 2)
+	named := map[string]bool{}
+	for _, w := range queries[0].Workers {
+		named[w] = true
+	}
+	for _, w := range queries[1].Workers {
+		if named[w] {
+			t.Errorf("both queries name worker %q", w)
+		}
+	}
+	// Without an answer the claims expire, and the workers may be named again.
+	e.AddJob(testTime(3000), &flow.Job{Spec: newJobSpec("c", "q", taskStep(1, 30000, 400))})
+	e.Schedule(testTime(3000))
+	queries = e.TakeOutput().Queries
+	is.Equal(len(queries), 1)
+	for _, w := range queries[0].Workers {
+		is.True(named[w])
+	}
+}
+
+// TestStepWithoutRoomDoesNotQueryOn guards against steps that use up the
+// placement clients while no worker has room for them. Once a step knows enough
+// workers that may run it, it waits for room there.
+func TestStepWithoutRoomDoesNotQueryOn(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang=%v", gang), func(t *testing.T) {
+			is := is.New(t)
+			e := readyEngine(t, 100, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+			setUsed := func(cpu int64) {
+				for _, w := range e.workersByID {
+					w.used = work.Size{CPU: cpu, Memory: 1000}
+					e.index.update(w)
+				}
+			}
+			setUsed(23500)
+			st := taskStep(4, 9000, 400)
+			st.Gang = gang
+			now := testTime(0)
+			e.AddJob(now, &flow.Job{Spec: newJobSpec("a", "q", st)})
+			queries := 0
+			schedule := func() {
+				e.Tick(now)
+				e.Schedule(now)
+				for _, q := range e.TakeOutput().Queries {
+					queries++
+					now = now.Add(420 * time.Millisecond)
+					tickets := map[string]string{}
+					for _, w := range q.Workers {
+						tickets[w] = "t"
+					}
+					e.HandleQueryResult(now, q, tickets, 2*time.Second, true)
+				}
+				now = now.Add(10 * time.Millisecond)
+			}
+			for range 100 {
+				schedule()
+			}
+			is.Equal(queries, 1)
+			setUsed(18000)
+			for range 100 {
+				schedule()
+			}
+			is.Equal(len(e.jobs["a"].runs), 4)
+		})
+	}
+}
+
+// TestGangQueriesRunAtTheSameTime guards against a gang whose first tickets
+// expire before its last ones arrive.
+func TestGangQueriesRunAtTheSameTime(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 200, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 1500})
+	names := []string{"i0", "i1", "i2", "i3", "i4", "i5"}
+	e.SetPlacementClients("i0", names)
+	for _, name := range names {
+		e.HandleProbeResult(testTime(0), name, true)
+	}
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("a", "q", gangStep(60, 20000, 400))})
+	e.Schedule(testTime(0))
+	queries := e.TakeOutput().Queries
+	is.Equal(len(queries), maxGangQueries)
+	clients, workers := map[string]bool{}, map[string]bool{}
+	for _, q := range queries {
+		clients[q.Client] = true
+		for _, w := range q.Workers {
+			workers[w] = true
+		}
+	}
+	is.Equal(len(clients), maxGangQueries)
+	is.Equal(len(workers), maxGangQueries*maxQueryWorkers)
+	// One client fails: the step is queried for again when the others have
+	// answered.
+	e.HandleQueryResult(testTime(100), queries[0], nil, 0, false)
+	e.Schedule(testTime(300))
+	is.Equal(len(e.TakeOutput().Queries), 0)
+	for _, q := range queries[1:] {
+		tickets := map[string]string{}
+		for _, w := range q.Workers {
+			tickets[w] = "t"
+		}
+		e.HandleQueryResult(testTime(420), q, tickets, 1500*time.Millisecond, true)
+	}
+	e.Schedule(testTime(420))
+	is.Equal(len(e.jobs["a"].runs), 60)
+}
+
+// TestGangsWithoutRoomLeaveClientsToOthers guards against gangs that query about
+// workers without free capacity, which does not let them start. Only gangs that
+// may reserve capacity partially need to know such workers.
+func TestGangsWithoutRoomLeaveClientsToOthers(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 200, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+	names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"}
+	e.SetPlacementClients("i0", names)
+	for _, name := range names {
+		e.HandleProbeResult(testTime(0), name, true)
+	}
+	for _, w := range e.workersByID {
+		w.used = work.Size{CPU: 23500, Memory: 1000}
+		e.index.update(w)
+	}
+	for i := range 6 {
+		e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", gangStep(4, 9000, 400))})
+	}
+	e.Schedule(testTime(0))
+	jobs := map[string]bool{}
+	for _, q := range e.TakeOutput().Queries {
+		jobs[q.Job] = true
+	}
+	is.Equal(len(jobs), maxPartialReservations)
+}
