coordination/ledger: reads are sized by the rate at which they are answered

Cause: a reader asks for up to 1 MiB and gives up after 0.95 s. A link of 10 Mbit/s needs 0.84 s for that when nothing else uses it.

The size of a read now follows the rate of the last one that was cut by its limit, for a quarter of the time-out, and is halved by a time-out. So each read gets through, and three quarters of the time-out are left for whatever else the link carries. The reader of the request path's streams had the same fixed size and takes the same rule.

TestReaderCatchesUpOnSmallLink failed before on each link of 1 MB/s or less: not at the end of the log within a minute.

--- a/internal/coordination/ledger/log.go
+++ b/internal/coordination/ledger/log.go
@@ -44,9 +44,9 @@
 type Log struct {
 	// Append appends all records or none and returns the offset after the last.
 	Append func(ctx context.Context, p Producer, seq int64, records []Record) (int64, error)
-	// Read returns the records from offset from on. If there are none, it waits
-	// for the first one up to the given time.
-	Read func(ctx context.Context, from int64, wait time.Duration) (Page, error)
+	// Read returns the records from offset from on, up to some maxBytes of them.
+	// If there are none, it waits for the first one up to the given time.
+	Read func(ctx context.Context, from int64, maxBytes int, wait time.Duration) (Page, error)
 	// ReadNewest returns the page of keys after the given one; "" is before all
 	// keys.
 	ReadNewest func(ctx context.Context, after string) (NewestPage, error)
--- a/internal/coordination/ledger/reader.go
+++ b/internal/coordination/ledger/reader.go
@@ -43,6 +43,8 @@
 	// Now returns the present time.
 	Now func() time.Time
 
+	size ReadSize // used by Run only
+
 	mu               sync.Mutex    // guards the fields below
 	nextCaughtUp     chan struct{} // closed after the next read that reaches the end of the log; nil if nobody waits
 	caughtUpAt       time.Time     // start of the last read that reached the end of the log
@@ -134,9 +136,11 @@
 }
 
 func (r *Reader) read(ctx context.Context, from int64, start time.Time) Batch {
-	ctx, cancel := context.WithTimeout(ctx, r.MaxReadWait+readTimeoutMargin)
+	timeout := r.MaxReadWait + readTimeoutMargin
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	page, err := r.Log.Read(ctx, from, r.MaxReadWait)
+	page, err := r.Log.Read(ctx, from, r.size.Bytes(), r.MaxReadWait)
+	r.size.Update(page, err, r.Now().Sub(start), timeout)
 	if err != nil {
 		return Batch{Err: err, SentAt: start}
 	}
--- /dev/null
+++ b/internal/coordination/ledger/reader_test.go
@@ -0,0 +1,83 @@
+package ledger_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+)
+
+// TestReaderCatchesUpOnSmallLink guards against a reader that stays behind
+// after an outage, because the records that one read returns take longer than
+// its time-out on the reader's link. The log grows meanwhile.
+func TestReaderCatchesUpOnSmallLink(t *testing.T) {
+	const (
+		recordBytes      = 1000
+		recordsPerSecond = 200
+		outage           = 15 * time.Second
+	)
+	tests := []struct {
+		name           string
+		bytesPerSecond int
+		latencyFactor  int // of the store
+		limit          time.Duration
+	}{
+		{"no limit", 0, 1, 1500 * time.Millisecond},
+		{"a little too small for the largest read", 1_000_000, 1, 6 * time.Second},
+		{"small", 400_000, 1, 20 * time.Second},
+		{"small and slow store", 400_000, 60, 40 * time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				st := store.New(1)
+				st.SetBandwidth("a", tt.bytesPerSecond)
+				ctx, cancel := context.WithCancel(context.Background())
+				var caughtUpAt atomic.Int64 // Unix nanoseconds
+				r := &ledger.Reader{
+					Log: st.Log("a"), MaxReadWait: 250 * time.Millisecond, ReadInterval: func() time.Duration { return 80 * time.Millisecond }, Now: time.Now,
+					Deliver: func(b ledger.Batch) {
+						if b.CaughtUp {
+							caughtUpAt.Store(time.Now().UnixNano())
+						}
+					},
+				}
+				var wg sync.WaitGroup
+				wg.Go(func() { r.Run(ctx) })
+				wg.Go(func() {
+					for ctx.Err() == nil {
+						time.Sleep(100 * time.Millisecond)
+						records := make([]ledger.Record, recordsPerSecond/10)
+						for i := range records {
+							records[i] = ledger.Record{Key: "k", Value: make([]byte, recordBytes)}
+						}
+						// It fails only when ctx has ended.
+						_, _ = st.Log("b").Append(ctx, ledger.Producer{}, 0, records)
+					}
+				})
+				time.Sleep(time.Second)
+				is.True(caughtUpAt.Load() != 0)
+				st.SetFault("a", store.Unresponsive)
+				time.Sleep(outage)
+				st.SetFault("a", store.NoFault)
+				end := time.Now()
+				for caughtUpAt.Load() < end.UnixNano() && time.Since(end) < time.Minute {
+					time.Sleep(20 * time.Millisecond)
+				}
+				if took := time.Since(end); took > tt.limit {
+					t.Errorf("time until the log was read to its end: got %v, want at most %v", took, tt.limit)
+				}
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
--- a/internal/coordination/stream/follower.go
+++ b/internal/coordination/stream/follower.go
@@ -61,6 +61,7 @@
 	lastSnapshot   int64         // offset of the newest snapshot seen
 	lastSnapshotAt time.Time     // when it was seen
 	snapshotJitter time.Duration // random delay of the next snapshot; 0 if not drawn yet
+	readSize       ledger.ReadSize
 }
 
 // NewFollower returns a Follower that applies the stream's records to the state
@@ -156,9 +157,12 @@
 }
 
 func (f *Follower) read(ctx context.Context) (ledger.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.MaxReadWait+readTimeoutMargin)
+	timeout, start := f.cfg.MaxReadWait+readTimeoutMargin, f.cfg.Now()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return f.log.Read(ctx, f.stateMachine.Offset()+1, f.cfg.MaxReadWait)
+	page, err := f.log.Read(ctx, f.stateMachine.Offset()+1, f.readSize.Bytes(), f.cfg.MaxReadWait)
+	f.readSize.Update(page, err, f.cfg.Now().Sub(start), timeout)
+	return page, err
 }
 
 func (f *Follower) apply(page ledger.Page) {
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -50,6 +50,7 @@
 	retention     int64                // number of records retained, 0 for all
 	answersToLose int                  // number of appends to come whose answers are lost
 	appends       int                  // number of appends carried out
+	bandwidths    map[string]int       // bytes of records per second that a client can read, by client; 0 for no limit
 }
 
 // producer is the state of one producer.
@@ -63,7 +64,7 @@
 func New(seed uint64) *Store {
 	return &Store{
 		rnd: rand.New(rand.NewPCG(seed, 2)), newestOffset: map[string]int64{}, producers: map[string]*producer{},
-		changed: make(chan struct{}), faults: map[string]Fault{}, latencyFactor: 1,
+		changed: make(chan struct{}), faults: map[string]Fault{}, latencyFactor: 1, bandwidths: map[string]int{},
 	}
 }
 
@@ -83,6 +84,14 @@
 	s.latencyFactor = factor
 }
 
+// SetBandwidth limits the bytes of records per second that a client can read. A
+// value of 0 removes the limit.
+func (s *Store) SetBandwidth(client string, bytesPerSecond int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bandwidths[client] = bytesPerSecond
+}
+
 // SetRetention makes the log retain the newest n records and the newest record
 // of each key. With n = 0 it retains all records.
 func (s *Store) SetRetention(n int) {
@@ -138,8 +147,8 @@
 		Append: func(ctx context.Context, p ledger.Producer, seq int64, records []ledger.Record) (int64, error) {
 			return s.append(ctx, client, p, seq, records)
 		},
-		Read: func(ctx context.Context, from int64, wait time.Duration) (ledger.Page, error) {
-			return s.read(ctx, client, from, wait)
+		Read: func(ctx context.Context, from int64, maxBytes int, wait time.Duration) (ledger.Page, error) {
+			return s.read(ctx, client, from, maxBytes, wait)
 		},
 		ReadNewest: func(ctx context.Context, after string) (ledger.NewestPage, error) {
 			return s.snapshotPage(ctx, client, after)
@@ -278,7 +287,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *Store) read(ctx context.Context, client string, from int64, wait time.Duration) (ledger.Page, error) {
+func (s *Store) read(ctx context.Context, client string, from int64, maxBytes int, wait time.Duration) (ledger.Page, error) {
 	if err := s.beginCall(ctx, client); err != nil {
 		return ledger.Page{}, err
 	}
@@ -293,8 +302,20 @@
 			return ledger.Page{}, &ledger.ExpiredError{OldestOffset: first}
 		}
 		if end > from {
-			page := ledger.Page{FirstOffset: from, LogEnd: end, Records: append([]ledger.Record(nil), s.records[from:end]...)}
+			page, size := ledger.Page{FirstOffset: from, LogEnd: end}, 0
+			for _, r := range s.records[from:end] {
+				if size += len(r.Key) + len(r.Value); size > maxBytes && len(page.Records) > 0 {
+					break
+				}
+				page.Records = append(page.Records, r)
+			}
+			bandwidth := s.bandwidths[client]
 			s.mu.Unlock()
+			if bandwidth > 0 {
+				if err := sleep(ctx, time.Duration(size)*time.Second/time.Duration(bandwidth)); err != nil {
+					return ledger.Page{}, err
+				}
+			}
 			return page, s.finishCall(ctx, client)
 		}
 		s.mu.Unlock()
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -164,7 +164,7 @@
 }
 
 func (p *Platform) logRead(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	page, err := p.topicLog(r).Read(r.Context(), intParam(r, "from"), time.Duration(intParam(r, "wait_ms"))*time.Millisecond)
+	page, err := p.topicLog(r).Read(r.Context(), intParam(r, "from"), int(intParam(r, "max_kb"))<<10, time.Duration(intParam(r, "wait_ms"))*time.Millisecond)
 	var expired *ledger.ExpiredError
 	switch {
 	case errors.As(err, &expired):
