coordination/core: an instance behind the ledger says so instead of counting

Cause: an instance counted as current whenever its last read had succeeded, however far from the end of the ledger that read ended, and the number of pending jobs was given even by instances that can't read at all.

Now an instance keeps when it last read to the end of the ledger. Once that is 2 s ago, the age that callers accept, or while it reads its state anew, it refuses to give the number (503 with Retry-After; the product's own interface likewise) and asks peers for states that are not final, as it did only while its reads failed. A peer that is behind itself no longer answers such a question; the next one is asked.

The time is that of the uptime clock: a step of the wall clock must not make an old count look current.

Not done: asking a peer for the number.

TestInstancesBehindLedgerGiveNoStaleAnswers failed before: 0 jobs pending instead of 152 while an instance catches up, and a complete job shown as active.

--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -25,6 +25,7 @@
 		c.applyRecord(now, r)
 	}
 	if b.CaughtUp && b.NextOffset >= c.completeOffset {
+		c.currentAt.Store(int64(c.settings.Uptime() - now.Sub(b.SentAt)))
 		c.ready.Store(true)
 		c.election.caughtUpAt = now
 	}
--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -28,6 +28,10 @@
 	// statusTimeout is how long a call waits for the ledger to be read to its
 	// end.
 	statusTimeout = 700 * time.Millisecond
+	// maxStateAge is how old a number of pending jobs may be, and for how long
+	// an instance that reads the ledger may not have reached its end before
+	// peers are asked for the states of jobs.
+	maxStateAge = 2 * time.Second
 )
 
 // Config returns the configuration in force, or nil before the first has been
@@ -99,6 +103,29 @@
 	return nil
 }
 
+// current reports whether this instance's state is complete and, at the given
+// uptime, no older than maxStateAge.
+func (c *Core) current(uptime time.Duration) bool {
+	return c.ready.Load() && uptime-time.Duration(c.currentAt.Load()) <= maxStateAge
+}
+
+// behind reports whether this instance can't read the ledger, or has not yet
+// read what was appended while it could not.
+func (c *Core) behind(uptime time.Duration) bool {
+	return !c.readable.Load() || !c.current(uptime)
+}
+
+// CurrentStatus is Status for peers that ask because they are behind. If this
+// instance is behind too, the error is ErrNotExecuted unless the job's state is
+// final.
+func (c *Core) CurrentStatus(ctx context.Context, id string) (flow.Status, error) {
+	st, err := c.Status(ctx, id)
+	if err == nil && !st.State.Final() && c.behind(c.settings.Uptime()) {
+		return flow.Status{}, ErrNotExecuted
+	}
+	return st, err
+}
+
 // Status returns a job's status. For a job that is not known it first reads the
 // ledger to its end. The error is ErrJobNotFound, or ErrNotExecuted if the
 // ledger can't be read in time.
@@ -129,5 +156,11 @@
 }
 
 // PendingJobs returns the number of accepted jobs of a queue that wait for
-// their first start.
-func (c *Core) PendingJobs(queue string) int { return c.index.Pending(queue) }
+// their first start. The error is ErrNotExecuted if the number known here is
+// older than maxStateAge.
+func (c *Core) PendingJobs(queue string) (int, error) {
+	if !c.current(c.settings.Uptime()) {
+		return 0, ErrNotExecuted
+	}
+	return c.index.Pending(queue), nil
+}
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -80,10 +80,13 @@
 	// lastAnswerAt is when a read of the ledger last succeeded, in Unix
 	// nanoseconds.
 	lastAnswerAt atomic.Int64
-	placement    placementQueue
-	relayServer  relayServer
-	peerProbes   sync.Map // by peer address: result of the last readiness probe
-	peers        atomic.Pointer[map[string]instanceRecord]
+	// currentAt is the uptime at which the newest read that reached the end of
+	// the ledger was sent, in nanoseconds. What it returned has been applied.
+	currentAt   atomic.Int64
+	placement   placementQueue
+	relayServer relayServer
+	peerProbes  sync.Map // by peer address: result of the last readiness probe
+	peers       atomic.Pointer[map[string]instanceRecord]
 
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -70,12 +70,11 @@
 }
 
 // StatusOrForward returns a job's status from this instance or, if this
-// instance can't determine it, from a peer. An instance that can't read the
-// ledger asks a peer even if it has a status of the job, since that may be
-// stale. The errors are those of Status, or ErrOutcomeUnknown.
+// instance can't determine it, from a peer. An instance that is behind asks a
+// peer even if it has a status of the job, since that may be stale. The errors are those of Status, or ErrOutcomeUnknown.
 func (c *Core) StatusOrForward(ctx context.Context, id string) (flow.Status, error) {
 	st, err := c.Status(ctx, id)
-	if err == nil && !st.State.Final() && !c.readable.Load() {
+	if err == nil && !st.State.Final() && c.behind(c.settings.Uptime()) {
 		return c.statusFromPeers(ctx, id, st), nil
 	}
 	err = c.forwardToPeers(ctx, "status", id, err, func(ctx context.Context, addr string) error {
@@ -86,8 +85,8 @@
 	return st, err
 }
 
-// statusFromPeers returns a job's status as known by a peer that is ready, or
-// st if no such peer answers.
+// statusFromPeers returns a job's status as known by a peer that is ready and
+// not behind, or st if no such peer answers.
 func (c *Core) statusFromPeers(ctx context.Context, id string, st flow.Status) flow.Status {
 	for _, p := range c.forwardTargets() {
 		if !c.peerReady(ctx, p) {
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -63,10 +63,10 @@
 	return toOutcome(flow.Status{}, s.Core.Cancel(ctx, req.Id)), nil
 }
 
-// Status returns a job's state for a peer. If there is none, the outcome's code
-// says why. The error is always nil.
+// Status returns a job's current state for a peer. If there is none, the
+// outcome's code says why. The error is always nil.
 func (s *Server) Status(ctx context.Context, req *cellpb.JobRequest) (*cellpb.Outcome, error) {
-	st, err := s.Core.Status(ctx, req.Id)
+	st, err := s.Core.CurrentStatus(ctx, req.Id)
 	return toOutcome(st, err), nil
 }
 
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -208,7 +208,7 @@
 		},
 		Status: func(ctx context.Context, addr, id string) (flow.Status, error) {
 			if c := s.reachableCore(addr); c != nil {
-				return c.Status(ctx, id)
+				return c.CurrentStatus(ctx, id)
 			}
 			return flow.Status{}, core.ErrNotExecuted
 		},
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -137,7 +137,12 @@
 		writeJSON(w, http.StatusNotFound, errorReply{Code: codeQueueNotFound, Errors: []string{"queue " + strconv.Quote(name) + " is not in the configuration"}})
 		return
 	}
-	writeJSON(w, http.StatusOK, QueueView{Queue: name, PendingJobs: s.Core.PendingJobs(name)})
+	pending, err := s.Core.PendingJobs(name)
+	if err != nil {
+		s.writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, QueueView{Queue: name, PendingJobs: pending})
 }
 
 func (s *Server) showInstance(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
