coordination/ledger: test of the size of a read by the outcome of the last

TestReadSizeFollowsRate names each outcome of a read: faster and slower than a quarter of the time-out, timed out, refused at once, at the end of the log, and a record that is larger than the read. It passes on the code as it is.

--- a/internal/coordination/ledger/reader_test.go
+++ b/internal/coordination/ledger/reader_test.go
@@ -81,3 +81,37 @@
 		})
 	}
 }
+
+// TestReadSizeFollowsRate checks the size of the read after one of 512 KiB with a
+// time-out of a second, by the outcome of that read.
+func TestReadSizeFollowsRate(t *testing.T) {
+	const size = 512 << 10
+	full := ledger.Page{LogEnd: 9, Records: []ledger.Record{{Value: make([]byte, size)}}}
+	tests := []struct {
+		name string
+		page ledger.Page
+		err  error
+		took time.Duration
+		want int
+	}{
+		{"quarter of the time-out", full, nil, 250 * time.Millisecond, size},
+		{"faster", full, nil, 200 * time.Millisecond, size * 5 / 4},
+		{"much faster", full, nil, 0, 1 << 20},
+		{"slower", full, nil, 500 * time.Millisecond, size / 2},
+		{"much slower", full, nil, 10 * time.Second, 64 << 10},
+		{"timed out", ledger.Page{}, store.ErrNoAnswer, time.Second, size / 2},
+		{"refused at once", ledger.Page{}, &ledger.RefusedError{}, 5 * time.Millisecond, size},
+		{"at the end of the log", ledger.Page{LogEnd: 1, Records: full.Records}, nil, 900 * time.Millisecond, size},
+		{"record larger than the read", ledger.Page{LogEnd: 9}, nil, 5 * time.Millisecond, 1 << 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var s ledger.ReadSize
+			s.Update(ledger.Page{}, store.ErrNoAnswer, time.Second, time.Second)
+			is.Equal(s.Bytes(), size)
+			s.Update(tt.page, tt.err, tt.took, time.Second)
+			is.Equal(s.Bytes(), tt.want)
+		})
+	}
+}
