state/sched: quick queries are not held back for lack of room

They also held back gangs of urgent jobs, whose queries take some 10 ms: such a gang on a full site of more than 90 workers did not learn which workers may run it and so could not preempt there. And a step with a limit of tasks per worker took workers to have room for more of its tasks than it may run there.

They stand in a function of their own, mayQueryWithoutRoom.

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -231,10 +231,11 @@
 }
 
 // workersToRenew returns the IDs of the chosen workers whose tickets are no
-// longer valid, as many as may be named at once. A gang starts as a whole, so its tickets
-// must be valid at the same time: if it lacks one, the tickets that would expire
-// before the answer are renewed too. The others are not, so that a gang on more
-// workers than may be named at once gets all its tickets by consecutive queries.
+// longer valid, as many as may be named at once. A gang starts as a whole, so
+// its tickets must be valid at the same time: if it lacks one, the tickets that
+// would expire before the answer are renewed too. The others are not, so that a
+// gang on more workers than may be named at once gets all its tickets by
+// consecutive queries.
 func workersToRenew(p *schedulingPass, sp *stepPlacement, service flow.PlacementService, chosen []*candidate, gang bool) []string {
 	answeredBy := p.now.Add(maxLongQueryWait + queryDuration(service, min(len(chosen), maxQueryWorkers)))
 	var expired, expiring []string
@@ -253,37 +254,26 @@
 	return names[:min(len(names), maxNamedWorkers(gang))]
 }
 
-// knownRoomFactor is how many times the tasks of a step must fit on the workers
-// that may run it, if these were idle, for the step to wait for free capacity
-// there instead of querying about workers without any.
-const knownRoomFactor = 2
-
 // workersToQuery returns the IDs of workers to query for the first time for a
 // step. They are enough workers for the tasks, given their free capacity and
 // the share of workers that are allowed in this queue, and more while naming
 // them costs little beside the fixed time of the call. Workers come first whose
-// free capacity no other step is about to use. Other workers follow only until
-// the step knows enough workers on which it may wait for capacity.
-//
-// A gang that does not fit into the free capacity can't start when its queries
-// are answered. It queries if it may reserve capacity partially, and if its
-// queries may name all workers, which bounds what they cost.
+// free capacity no other step is about to use. Others follow as far as
+// mayQueryWithoutRoom allows.
 func (e *Engine) workersToQuery(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, sp *stepPlacement, permitted []*candidate, need int) []string {
-	expectedFit, idleFit := 0.0, 0
-	for _, c := range permitted {
-		idleFit += fitCount(c.worker.Capacity, taskSize(st), len(ps.idleTasks))
-		if st.Gang {
-			// These workers are queried again once the whole gang fits. Until then,
-			// further workers are needed only for the tasks that do not fit on these.
+	expectedFit := 0.0
+	if st.Gang {
+		// These workers are queried again once the whole gang fits. Until then,
+		// further workers are needed only for the tasks that do not fit on these.
+		for _, c := range permitted {
 			expectedFit += float64(c.fit + c.preemptFit)
 		}
 	}
-	knowsEnough := idleFit >= knownRoomFactor*len(ps.idleTasks)
 	share := e.allowedShare(ps.job.Queue)
-	minNames, maxNamed := affordableQueryWorkers(policy.PlacementService), maxNamedWorkers(st.Gang)
+	minNames, maxNames := affordableQueryWorkers(policy.PlacementService), maxNamedWorkers(st.Gang)
 	var names []string
 	enough := func(minNames int) bool {
-		return (len(names) >= maxNamed && !st.Gang) || (expectedFit >= float64(need) && len(names) >= minNames)
+		return expectedFit >= float64(need) && len(names) >= minNames
 	}
 	var claimed []*candidate
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
@@ -295,13 +285,17 @@
 				claimed = append(claimed, c)
 			}
 		}
-		return !enough(minNames)
+		// The room for a gang is counted over all workers, to know whether it fits.
+		return !enough(minNames) && (st.Gang || len(names) < maxNames)
 	})
-	if st.Gang && expectedFit < float64(need) && (knowsEnough || (len(e.workersByID) > maxNamed && !e.admitPartialReservation(p.now, ps))) {
-		return nil
+	if !enough(0) && !e.mayQueryWithoutRoom(p, ps, st, policy, permitted) {
+		if st.Gang {
+			return nil // it could not start when the queries are answered
+		}
+		return names
 	}
 	for _, c := range append(claimed, full...) {
-		if knowsEnough || len(names) >= maxNamed || enough(0) {
+		if enough(0) || len(names) >= maxNames {
 			break
 		}
 		if !sp.answered(c.worker) {
@@ -309,7 +303,34 @@
 			expectedFit += share
 		}
 	}
-	return names[:min(len(names), maxNamed)]
+	return names[:min(len(names), maxNames)]
+}
+
+// knownRoomFactor is how many times the tasks of a step must fit on the workers
+// that may run it, if these were idle, for the step to wait for free capacity
+// there instead of querying about workers without any.
+const knownRoomFactor = 2
+
+// mayQueryWithoutRoom reports whether a step that does not fit into the free
+// capacity may query about workers without any, to wait for capacity there. It
+// may if the queries are quick, and otherwise until it knows enough workers. A
+// gang must further be the one that may reserve capacity partially, unless its
+// queries may name all workers at once, which bounds what they cost.
+func (e *Engine) mayQueryWithoutRoom(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, permitted []*candidate) bool {
+	if queryDuration(policy.PlacementService, maxQueryWorkers) <= maxQuickQuery {
+		return true
+	}
+	perWorker, known := len(ps.idleTasks), 0
+	if st.MaxPerWorker > 0 {
+		perWorker = min(perWorker, st.MaxPerWorker)
+	}
+	for _, c := range permitted {
+		known += fitCount(c.worker.Capacity, taskSize(st), perWorker)
+	}
+	if known >= knownRoomFactor*len(ps.idleTasks) {
+		return false
+	}
+	return !st.Gang || len(e.workersByID) <= maxNamedWorkers(true) || e.admitPartialReservation(p.now, ps)
 }
 
 // maxNamedWorkers returns how many workers the queries about a step that are in
