--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -104,13 +104,13 @@
 	return c.Acked || !read.Before(c.newcomerMayClaimFrom(d, m))
 }
 
-// newcomerMayClaimFrom returns from when on a member whose promise the leader does not
-// need yet may claim. Until then the promises of the other members may still
-// extend the leader's lease, which they do at most for a limited time after the
-// leader's last record. Without other members there are no promises. If a
-// member is dead whose promise the leader needs, the lease can't be extended
-// further, and the promises that it made end within their fixed duration after
-// its death.
+// newcomerMayClaimFrom returns from when on a member whose promise the leader
+// does not need yet may claim. Until then the promises of the other members may
+// still extend the leader's lease, which they do at most for a limited time
+// after the leader's last record. Without other members there are no promises.
+// If a member is dead whose promise the leader needs, the lease can't be
+// extended further, and the promises that it made end within their fixed
+// duration after its death.
 func (c Claimant) newcomerMayClaimFrom(d Durations, m Membership) time.Time {
 	leaderWait := d.LeaderLease + d.Margin
 	if m.Peers == 0 {
