coordination/parts: a component ends at the first panic of a part

What callers would see: an instance whose core has panicked while it held a lock, and that neither serves nor ends, so that the platform doesn't start it again. Other goroutines wait for that lock, and Core.Run waits for them before it panics.

Cause: Core.spawn told Run of a panic, but conc.WaitGroup.Wait returns only after all goroutines have ended.

Now Core.spawn has become package parts, whose Group other components can use too: Wait panics with the trace of the first panic as soon as there is one, and the caller's deferred calls end the rest. The core has one Group in place of two, since the calls of its leader end it as its loop does.

Ruled out: bare goroutines, whose panic ends the process at once, since the deferred calls of the commands then don't run, among them the last write of the log.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -20,10 +20,10 @@
 	"github.com/go-faster/errors"
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/core"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 	"github.com/tamaracklink/tamaracklink/internal/protocol/cell"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
@@ -172,7 +172,7 @@
 		{"peers and operators", s.settings.PeerAddr, s.peerHandler()},
 		{"metrics", s.settings.MetricsAddr, s.metricsHandler()},
 	}
-	group := conc.NewWaitGroup()
+	group := parts.New()
 	for _, l := range listeners {
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/intake"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
@@ -91,7 +91,7 @@
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
 
-	// The fields below belong to the loop. Other goroutines use calls, ctx and
+	// The fields below belong to the loop. Other goroutines use parts, ctx and
 	// stop, which do not change.
 	jobs           map[string]*flow.Job      // by ID
 	members        map[string]instanceRecord // by instance name
@@ -106,11 +106,11 @@
 	nextDecideAt   time.Time
 	nextTickAt     time.Time
 	lastStatsAt    time.Time
-	wakeAt         time.Time // when the loop wakes up at the latest
-	passes         passStats // since lastStatsAt
-	waitingQueues  []string  // queues with pending steps at lastStatsAt
-	decisionDue    bool      // something has changed since the last decisions
-	calls          *conc.WaitGroup
+	wakeAt         time.Time          // when the loop wakes up at the latest
+	passes         passStats          // since lastStatsAt
+	waitingQueues  []string           // queues with pending steps at lastStatsAt
+	decisionDue    bool               // something has changed since the last decisions
+	parts          *parts.Group       // all goroutines of the instance
 	ctx            context.Context    // done when Run has to end
 	stop           context.CancelFunc // ends ctx
 }
@@ -119,7 +119,7 @@
 func New(settings Settings) *Core {
 	c := &Core{
 		settings: settings, index: flow.NewIndex(), events: make(chan func(time.Time), 1024), done: make(chan struct{}),
-		jobs: map[string]*flow.Job{}, members: map[string]instanceRecord{}, earlyCancels: map[string]bool{}, completeOffset: -1, calls: conc.NewWaitGroup(),
+		jobs: map[string]*flow.Job{}, members: map[string]instanceRecord{}, earlyCancels: map[string]bool{}, completeOffset: -1, parts: parts.New(),
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.election.lastContact = settings.Now()
@@ -175,33 +175,15 @@
 	defer c.stop()
 	defer context.AfterFunc(ctx, c.stop)()
 	ctx = c.ctx
-	parts := conc.NewWaitGroup()
-	c.spawn(parts, func() { c.intake.Run(ctx) })
-	c.spawn(parts, func() { c.reader.Run(ctx) })
-	c.spawn(parts, func() { c.configReader.Run(ctx) })
-	c.spawn(parts, func() { c.register(ctx) })
-	c.spawn(parts, func() {
+	c.parts.Go(func() { c.intake.Run(ctx) })
+	c.parts.Go(func() { c.reader.Run(ctx) })
+	c.parts.Go(func() { c.configReader.Run(ctx) })
+	c.parts.Go(func() { c.register(ctx) })
+	c.parts.Go(func() {
 		defer close(c.done)
 		c.loop(ctx)
 	})
-	<-ctx.Done()
-	parts.Wait()
-	c.calls.Wait()
-}
-
-// spawn runs f in a goroutine of the group. If f panics, it ends Run, which
-// waits for the group: until then the group keeps the panic to itself.
-func (c *Core) spawn(group *conc.WaitGroup, f func()) {
-	group.Go(func() {
-		returned := false
-		defer func() {
-			if !returned {
-				c.stop()
-			}
-		}()
-		f()
-		returned = true
-	})
+	c.parts.Wait()
 }
 
 // loopInterval is the longest time between two passes of the loop.
--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -197,7 +197,7 @@
 		return
 	}
 	c.settings.Logger.Info().Int64("term", term).Dur("silence", now.Sub(c.election.lastContact)).Msg("leader: standing for election")
-	c.spawn(c.calls, func() {
+	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
 		defer cancel()
 		_, err := c.settings.Log.Append(ctx, ledger.Producer{Name: leaderProducer, Epoch: term}, 1, []ledger.Record{record})
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	a.cancel = cancel
 	w, sentAt, term, resigned := a.writer, c.settings.Uptime(), c.election.term, a.resigned
-	c.spawn(c.calls, func() {
+	c.parts.Go(func() {
 		defer cancel()
 		_, err := w.Append(ctx, records)
 		c.post(func(now time.Time) { c.applyAppendResult(now, b, records, err, sentAt, term, resigned) })
@@ -177,7 +177,7 @@
 	w := c.appending.writer
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.appending.cancel = cancel
-	c.spawn(c.calls, func() {
+	c.parts.Go(func() {
 		defer cancel()
 		select {
 		case <-time.After(appendRetryPause):
@@ -197,7 +197,7 @@
 		return
 	}
 	l.busy, l.nextAt = true, now.Add(listInterval)
-	c.spawn(c.calls, func() {
+	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, listTimeout)
 		defer cancel()
 		list, err := c.settings.Workers.List(ctx)
@@ -252,14 +252,14 @@
 			batches[name] = append(batches[name], c.trackOrder(now, name, o))
 			continue
 		}
-		c.spawn(c.calls, func() { c.sendOrder(o, term) })
+		c.parts.Go(func() { c.sendOrder(o, term) })
 	}
 	c.sendToRelays(now, batches)
 	for _, q := range out.Queries {
-		c.spawn(c.calls, func() { c.sendPlacementQuery(q, term) })
+		c.parts.Go(func() { c.sendPlacementQuery(q, term) })
 	}
 	for _, name := range out.Probes {
-		c.spawn(c.calls, func() { c.probePlacementClient(name, term) })
+		c.parts.Go(func() { c.probePlacementClient(name, term) })
 	}
 }
 
--- a/internal/coordination/core/machine.go
+++ b/internal/coordination/core/machine.go
@@ -72,7 +72,7 @@
 	e.transferAttempts++
 	name := names[e.transferAttempts%len(names)]
 	addr, term := c.members[name].Addr, e.term
-	c.spawn(c.calls, func() {
+	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
 		if !c.settings.Peers.Ready(ctx, addr) {
--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -125,10 +125,10 @@
 		relay := c.relay.relays[name]
 		if !relay.fetching {
 			relay.fetching = true
-			c.spawn(c.calls, func() { c.fetchRelayAnswers(name, relay.addr, leader, term) })
+			c.parts.Go(func() { c.fetchRelayAnswers(name, relay.addr, leader, term) })
 		}
 		ctx := c.relay.ctx
-		c.spawn(c.calls, func() {
+		c.parts.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 			defer cancel()
 			if err := c.settings.Relay.SendOrders(ctx, relay.addr, leader, term, batch); err != nil {
--- a/internal/coordination/core/relay_server.go
+++ b/internal/coordination/core/relay_server.go
@@ -100,7 +100,7 @@
 func (c *Core) RelayOrders(leader string, term int64, orders []NumberedOrder) {
 	s := c.relayServer.session(leader, c.settings.Now())
 	for _, o := range orders {
-		c.spawn(c.calls, func() {
+		c.parts.Go(func() {
 			a := c.callOrder(o.Order, term)
 			a.ID = o.ID
 			c.relayServer.add(s, a)
