server: a panic in a part ends Run instead of leaving it serving

What callers would see: an instance of `serve` without its configuration, its membership, its domain's stream, its idempotency keys or its router, that still takes requests, answers /healthz with "ok" and logs nothing.

Cause: the groups of goroutines of server, member, stream, leader and entry kept a panic until Wait, which a graceful shutdown reaches only at its end. The panics of calls in the background (to workers, minions and peers, appends) were kept by groups that nothing waited for at all until then.

Now all of them are parts.Groups, and each Run waits for its Group from the start. The graceful shutdown of the server is a part too, so a panic during it ends the process without the wait for requests in flight. A leader's term has no group of its own any more: its goroutines belong to the domain, which waited for them anyway.

--- a/internal/coordination/entry/router.go
+++ b/internal/coordination/entry/router.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/once"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 	"github.com/tamaracklink/tamaracklink/internal/state/config"
 	"github.com/tamaracklink/tamaracklink/internal/state/route"
 )
@@ -58,7 +58,7 @@
 type Router struct {
 	cfg  Config
 	done chan struct{}
-	wg   conc.WaitGroup
+	wg   *parts.Group // the loop and all background calls
 	ctx  context.Context
 
 	attemptCount atomic.Uint64
@@ -78,7 +78,7 @@
 // New returns a Router without minions. Run must be called to start it.
 func New(cfg Config) *Router {
 	return &Router{
-		cfg: cfg, done: make(chan struct{}), pool: route.NewPool(route.ChooseExpectedFinish, 1), queue: route.NewQueue(),
+		cfg: cfg, done: make(chan struct{}), wg: parts.New(), pool: route.NewPool(route.ChooseExpectedFinish, 1), queue: route.NewQueue(),
 		budget: route.NewBudget(), inFlight: map[string]*attempt{},
 	}
 }
@@ -90,9 +90,16 @@
 // when all background calls have ended. It must be called once.
 func (r *Router) Run(ctx context.Context) {
 	defer close(r.done)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	r.mu.Lock()
 	r.ctx = ctx
 	r.mu.Unlock()
+	r.wg.Go(func() { r.loop(ctx) })
+	r.wg.Wait()
+}
+
+func (r *Router) loop(ctx context.Context) {
 	t := time.NewTicker(refreshInterval)
 	defer t.Stop()
 	for {
@@ -100,7 +107,6 @@
 		r.queryLoads(ctx)
 		select {
 		case <-ctx.Done():
-			r.wg.Wait()
 			return
 		case <-t.C:
 		}
--- a/internal/coordination/leader/commit.go
+++ b/internal/coordination/leader/commit.go
@@ -104,7 +104,7 @@
 			RunTime: time.Duration(j.Spec.RunMs) * time.Millisecond,
 		})
 	}
-	l.wg.Go(func() { d.sendStarts(l, ws, tasks) })
+	d.wg.Go(func() { d.sendStarts(l, ws, tasks) })
 }
 
 func (d *Domain) sendStarts(l *leadership, ws *workerSession, tasks []StartTask) {
@@ -169,7 +169,7 @@
 func (d *Domain) stopAttempts(ws *workerSession, attempts []Attempt) {
 	l := d.leadership
 	addr := ws.addr
-	l.wg.Go(func() {
+	d.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(l.ctx, taskCallTimeout)
 		defer cancel()
 		if d.cfg.Workers.Stop(ctx, addr, attempts) == nil {
--- a/internal/coordination/leader/domain.go
+++ b/internal/coordination/leader/domain.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/stream"
 	"github.com/tamaracklink/tamaracklink/internal/state/config"
 	"github.com/tamaracklink/tamaracklink/internal/state/lease"
@@ -75,13 +75,13 @@
 	lastClaim        sentClaim
 	ownershipUntil   time.Time // promised by the leader: this member's minions are not assigned to others before
 	leaving          bool
-	wg               conc.WaitGroup
+	wg               *parts.Group // all goroutines of the domain
 	ctx              context.Context
 }
 
 // New returns a domain without any state. Run must be called to read it.
 func New(cfg Config) *Domain {
-	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), done: make(chan struct{}), wake: make(chan struct{}, 1), wg: parts.New()}
 	sm := stream.StateMachine{Apply: d.apply, Snapshot: d.Snapshot, Load: d.load, Offset: d.offset, Fetch: cfg.Fetch}
 	name := StreamName(cfg.Domain)
 	d.stream = stream.New(stream.FollowerConfig{
@@ -98,17 +98,23 @@
 // must be called once.
 func (d *Domain) Run(ctx context.Context) {
 	defer close(d.done)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	d.mu.Lock()
 	d.ctx = ctx
 	d.mu.Unlock()
-	var wg conc.WaitGroup
+	d.wg.Go(func() { d.takePart(ctx) })
+	d.wg.Wait()
+}
+
+func (d *Domain) takePart(ctx context.Context) {
+	wg := parts.New()
 	wg.Go(func() { d.stream.Run(ctx) })
 	wg.Go(func() { d.loop(ctx) })
 	wg.Wait()
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.endTerm("the instance stops")
-	d.mu.Unlock()
-	d.wg.Wait()
 }
 
 func (d *Domain) loop(ctx context.Context) {
--- a/internal/coordination/leader/leader_lease_test.go
+++ b/internal/coordination/leader/leader_lease_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sourcegraph/conc"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/lease"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
@@ -35,7 +34,7 @@
 	d.state.Apply(2, work.Record{Submit: &work.Submit{Spec: spec}})
 	ref := work.TaskRef{Job: "j"}
 	d.state.Apply(3, work.Record{Batch: &work.Batch{Term: 1, Seq: 1, Member: "a", Assign: []work.Assign{{Task: ref, Attempt: 1, Worker: "w"}}}})
-	l := &leadership{ctx: context.Background(), wg: conc.NewWaitGroup()}
+	l := &leadership{ctx: context.Background()}
 	d.leadership = l
 	ws := &workerSession{name: "w", synced: true, starts: map[work.TaskRef]*startStatus{}}
 	act := func() (starts int, renews bool) {
--- a/internal/coordination/leader/leadership.go
+++ b/internal/coordination/leader/leadership.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/state/lease"
 	"github.com/tamaracklink/tamaracklink/internal/state/place"
@@ -43,7 +41,6 @@
 	lastDone          periodicTimes
 	cancel            context.CancelFunc
 	ctx               context.Context
-	wg                *conc.WaitGroup
 }
 
 // allocation is the capacity that one attempt of a task takes up on a worker.
@@ -71,7 +68,7 @@
 			Fit: place.FitSpareAccelerators, Order: place.OrderFair, AgingThreshold: agingThreshold, ReserveAfter: reservationDelay,
 		}),
 		attribution: place.NewFailureAttribution(), sessions: map[string]*workerSession{}, allocations: map[work.TaskRef]allocation{}, unrecordedEnds: map[work.TaskRef]work.End{},
-		pendingReasons: map[string]string{}, grantableFrom: map[string]time.Time{}, cancel: cancel, ctx: ctx, wg: conc.NewWaitGroup(),
+		pendingReasons: map[string]string{}, grantableFrom: map[string]time.Time{}, cancel: cancel, ctx: ctx,
 	}
 	l.leaderLease.Renew(claimSent)
 	l.engine.Wanted = d.stillPending
@@ -103,10 +100,8 @@
 		return
 	}
 	d.cfg.Logger.Info().Uint64("term", d.leadership.term).Str("why", reason).Msg("leader: term ended")
-	l := d.leadership
+	d.leadership.cancel()
 	d.leadership = nil
-	l.cancel()
-	d.wg.Go(l.wg.Wait)
 }
 
 // mayAct reports whether l is still the current leadership and its leader lease
--- a/internal/coordination/leader/session.go
+++ b/internal/coordination/leader/session.go
@@ -63,7 +63,7 @@
 		ws.trackStart(ref, p.Attempt)
 	}
 	l.sessions[inst.Name] = ws
-	l.wg.Go(func() { d.syncLoop(ctx, l, ws) })
+	d.wg.Go(func() { d.syncLoop(ctx, l, ws) })
 	return ws
 }
 
--- a/internal/coordination/member/view.go
+++ b/internal/coordination/member/view.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 )
 
 // Times and limits of membership.
@@ -63,7 +64,9 @@
 // called once.
 func (v *View) Run(ctx context.Context) {
 	defer close(v.done)
-	var wg conc.WaitGroup
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	wg := parts.New()
 	wg.Go(func() { v.listLoop(ctx) })
 	wg.Go(func() { v.heartbeatLoop(ctx) })
 	wg.Wait()
@@ -116,7 +119,7 @@
 		if round%otherDomainsEvery == 0 {
 			targets = append(targets, v.otherDomains()...)
 		}
-		var wg conc.WaitGroup
+		wg := parts.New()
 		for _, inst := range targets {
 			wg.Go(func() { v.sendHeartbeat(ctx, inst) })
 		}
--- a/internal/coordination/stream/stream.go
+++ b/internal/coordination/stream/stream.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 )
 
 // Stream follows one stream and appends to it.
@@ -30,7 +29,9 @@
 // Run follows the stream and appends to it until ctx ends. It must be called
 // once.
 func (s *Stream) Run(ctx context.Context) {
-	wg := conc.NewWaitGroup()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	wg := parts.New()
 	wg.Go(func() { s.appender.Run(ctx) })
 	wg.Go(func() { s.Follower.Run(ctx) })
 	wg.Wait()
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
-	"github.com/sourcegraph/conc"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/conf"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/entry"
@@ -19,6 +18,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/once"
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 	"github.com/tamaracklink/tamaracklink/internal/protocol/minion"
 	"github.com/tamaracklink/tamaracklink/internal/protocol/peer"
 	"github.com/tamaracklink/tamaracklink/internal/protocol/plat"
@@ -210,16 +210,19 @@
 // health check fails first, then new requests are refused, requests in flight
 // are finished, and leadership and minions are handed over. It returns an error
 // if serving fails, or if requests or connections do not end within their
-// limits. It must be called once.
+// limits. It must be called once. If any of the instance's goroutines panics, Run
+// ends the others and panics too.
 func (i *Instance) Run(ctx context.Context) error {
 	defer close(i.done)
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	defer i.close()
 	i.runCtx = runCtx
 	httpServer := &http.Server{
 		Handler: i.handler(), ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	var wg conc.WaitGroup
+	defer func() { _ = httpServer.Close() }()
+	wg := parts.New()
 	wg.Go(func() { i.configView.Run(runCtx) })
 	wg.Go(func() { i.memberView.Run(runCtx) })
 	wg.Go(func() { i.domain.Run(runCtx) })
@@ -229,16 +232,17 @@
 	wg.Go(func() { serveErr <- httpServer.Serve(i.listener) })
 	i.logger.Info().Str("domain", i.settings.Domain).Str("addr", i.addr).Msg("server: serving")
 	var err error
-	select {
-	case err = <-serveErr:
-	case <-i.abort:
-	case <-ctx.Done():
-		err = i.shutDown(httpServer)
-	}
-	cancel()
-	_ = httpServer.Close()
+	wg.Go(func() {
+		defer cancel()
+		select {
+		case err = <-serveErr:
+		case <-i.abort:
+		case <-ctx.Done():
+			err = i.shutDown(httpServer)
+		}
+		_ = httpServer.Close()
+	})
 	wg.Wait()
-	i.close()
 	i.logger.Info().Msg("server: stopped")
 	return err
 }
