coordination/ledger: an append panics with its attempt

What callers would see: an instance whose calls to the store panic doesn't end at once. The append waits for the answer of an attempt that has panicked and makes further ones, until its context ends; an append without a deadline never ends.

Cause: conc.WaitGroup keeps the panic of an attempt until Wait, which Append calls only when it returns.

Now the attempts are a parts.Group, and Append panics as soon as one does.

Test: TestAppendPanicsIfAnAttemptPanics fails without the change, with a panic after the hour that its context lasts.

--- a/internal/coordination/ledger/writer.go
+++ b/internal/coordination/ledger/writer.go
@@ -6,7 +6,8 @@
 
 	"github.com/cenkalti/backoff/v4"
 	"github.com/go-faster/errors"
-	"github.com/sourcegraph/conc"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 )
 
 // Limits of one append.
@@ -74,7 +75,7 @@
 func (w *Writer) Append(ctx context.Context, records []Record) (int64, error) {
 	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
-	attempts := conc.NewWaitGroup()
+	attempts := parts.New()
 	defer attempts.Wait()
 	defer cancel()
 	results := make(chan attemptResult, maxAttemptsInFlight)
@@ -118,6 +119,8 @@
 			}
 			hedgeDelay = min(maxHedgeDelay, time.Duration(hedgeDelayGrowth*float64(hedgeDelay)))
 			nextAttempt.Reset(hedgeDelay)
+		case <-attempts.Panicked():
+			attempts.Wait() // panics
 		case <-callerCtx.Done():
 			return 0, errors.Wrapf(callerCtx.Err(), "append by producer %s with sequence number %d: no result after %d attempts", w.producer.Name, w.seq+1, sent)
 		}
