coordination/entry: a panicking request leaves the router's lock free

What callers would see: after one request whose handler has panicked, an instance that answers no request and no status any more, while /healthz says "ok". net/http logs the panic of a handler and goes on.

Cause: acquireSlot, enqueueAndWait, dispatch and findPeer released the lock without a deferred call.

Now each of their steps under the lock is a function with a deferred unlock. What they do is the same.

Ruled out: ending the process at the panic of a handler, since one request that its caller repeats could then end one instance after another. The remaining sections without a deferred unlock in entry read or set single fields, or run in the router's own goroutines, whose panic ends the process.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -187,27 +187,38 @@
 // or a refusal, and reports whether another attempt is allowed.
 func (r *Router) acquireSlot(ctx context.Context, req *Request, arrived time.Time, avoid string) (*route.Minion, Answer, bool) {
 	now := r.cfg.Now()
-	r.mu.Lock()
-	localServiceTime := time.Duration(0)
-	if r.queue.Len() == 0 {
-		localServiceTime = r.pool.LeastServiceTime(req.Class, now)
-	}
-	r.mu.Unlock()
-	if p, ok := r.findPeer(req, localServiceTime); ok {
+	if p, ok := r.findPeer(req, r.localServiceTime(req.Class, now)); ok {
 		a, retry := r.forward(ctx, req, p.Instance, p.Addr)
 		return nil, a, retry
 	}
-	r.mu.Lock()
-	if r.queue.Len() == 0 {
-		if m := r.pool.AcquireSlot(req.Class, avoid, now); m != nil {
-			r.mu.Unlock()
-			return m, Answer{}, false
-		}
+	if m := r.acquireFreeSlot(req.Class, avoid, now); m != nil {
+		return m, Answer{}, false
 	}
-	r.mu.Unlock()
 	return r.enqueueAndWait(ctx, req, arrived)
 }
 
+// localServiceTime returns the expected service time here, or 0 if no slot is
+// free.
+func (r *Router) localServiceTime(class string, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.queue.Len() > 0 {
+		return 0
+	}
+	return r.pool.LeastServiceTime(class, now)
+}
+
+// acquireFreeSlot acquires a slot if no request waits, and returns its minion,
+// or nil if there is none.
+func (r *Router) acquireFreeSlot(class, avoid string, now time.Time) *route.Minion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.queue.Len() > 0 {
+		return nil
+	}
+	return r.pool.AcquireSlot(class, avoid, now)
+}
+
 // enqueueAndWait queues the request and waits for a slot. It returns the same as
 // acquireSlot.
 func (r *Router) enqueueAndWait(ctx context.Context, req *Request, arrived time.Time) (*route.Minion, Answer, bool) {
@@ -215,17 +226,22 @@
 		ID: req.ID, Tenant: req.Tenant, Class: req.Class, Arrived: arrived, Deadline: req.Deadline, NoForward: req.Forwarded || !req.Idempotent,
 		Destination: make(chan route.Destination, 1),
 	}
-	now := r.cfg.Now()
-	r.mu.Lock()
-	reason := r.queue.Push(waiter, now, r.pool.Rate(now))
-	r.assignSlots(now)
-	r.mu.Unlock()
-	if reason != "" {
+	if reason := r.enqueue(waiter, r.cfg.Now()); reason != "" {
 		return nil, notRunAnswer(refusalCode(reason), "refused at the door, nothing was run"), false
 	}
 	return r.awaitAssignment(ctx, req, waiter)
 }
 
+// enqueue adds a request to the queue, or returns the reason why the queue
+// refuses it.
+func (r *Router) enqueue(waiter *route.Waiter, now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reason := r.queue.Push(waiter, now, r.pool.Rate(now))
+	r.assignSlots(now)
+	return reason
+}
+
 // awaitAssignment waits until the request is assigned a slot here or at a peer.
 // Every forwardCheckInterval it also checks whether a peer has reported a free
 // slot. It returns the same as acquireSlot. A minion that was assigned just
@@ -313,15 +329,7 @@
 	attemptReq := *req
 	attemptReq.AttemptID = r.newAttemptID(req.ID)
 	att := &attempt{id: attemptReq.AttemptID, minion: m, sentAt: now, cancel: cancel}
-	r.mu.Lock()
-	allowed := now.Before(m.OwnedUntil) && ctx.Err() == nil
-	if allowed {
-		r.inFlight[att.id] = att
-	} else {
-		r.pool.ReleaseSlot(m, req.Class, 0)
-	}
-	r.mu.Unlock()
-	if !allowed {
+	if !r.beginAttempt(ctx, att, req.Class) {
 		return r.notDispatchedAnswer(ctx, m)
 	}
 	reply, err := r.cfg.Send(attemptCtx, m.Addr, &attemptReq, newConn)
@@ -335,6 +343,19 @@
 	return r.handleFailure(ctx, req, att, err)
 }
 
+// beginAttempt counts an attempt as in flight. If nothing may be sent any more,
+// it releases the slot and returns false.
+func (r *Router) beginAttempt(ctx context.Context, att *attempt, class string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !att.sentAt.Before(att.minion.OwnedUntil) || ctx.Err() != nil {
+		r.pool.ReleaseSlot(att.minion, class, 0)
+		return false
+	}
+	r.inFlight[att.id] = att
+	return true
+}
+
 // newAttemptID returns the ID of a new attempt. It contains the instance's name,
 // since several instances may make attempts of one request.
 func (r *Router) newAttemptID(requestID string) string {
--- a/internal/coordination/entry/forward.go
+++ b/internal/coordination/entry/forward.go
@@ -76,10 +76,7 @@
 	if req.Forwarded || r.cfg.Helper == nil || req.Deadline.Sub(now) < minForwardTime {
 		return member.Peer{}, false
 	}
-	r.mu.Lock()
-	noSlots := r.pool.TotalSlots(now) == 0
-	r.mu.Unlock()
-	if !req.Idempotent && !noSlots {
+	if !req.Idempotent && r.hasSlots(now) {
 		return member.Peer{}, false
 	}
 	return r.cfg.Helper(now, func(p member.Peer) bool {
@@ -87,6 +84,12 @@
 	})
 }
 
+func (r *Router) hasSlots(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.pool.TotalSlots(now) > 0
+}
+
 // forward forwards the request to a peer and returns the peer's answer. It
 // reports whether another attempt is allowed.
 func (r *Router) forward(ctx context.Context, req *Request, instance, addr string) (Answer, bool) {
