core: an instance whose loop makes no progress is not ready

What callers would see: an instance that stays ready, for the balancer and for its peers, while its loop is blocked, and that answers from a state that doesn't change any more.

Cause: what readiness looks at (configuration, complete state, reads and appends) was last set by the loop, or works without it.

Now the loop records the uptime of its last pass, and readiness is lost when that is older than maxLoopPause, 5 s. Forwarding to peers doesn't bring it back. The clock is the one that counts while the machine is suspended.

Not known: the longest pass on a full cell. No figure of it was found in the documents; OPERATIONS.md calls passes over 40 ms slow.

--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -39,9 +39,10 @@
 func (c *Core) Config() *flow.Config { return c.config.Load() }
 
 // Ready reports whether this instance can serve callers without a peer: it has
-// a configuration, complete state, and a store that accepts reads and appends.
+// a configuration, complete state, a loop that makes progress, and a store that
+// accepts reads and appends.
 func (c *Core) Ready() bool {
-	return c.config.Load() != nil && c.ready.Load() && c.storeHealthy()
+	return c.config.Load() != nil && c.ready.Load() && !c.stalled() && c.storeHealthy()
 }
 
 // IsLeader reports whether this instance leads.
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -83,6 +83,7 @@
 	// currentAt is the uptime at which the newest read that reached the end of
 	// the ledger was sent, in nanoseconds. What it returned has been applied.
 	currentAt   atomic.Int64
+	loopedAt    atomic.Int64 // uptime at the end of the loop's last pass, in nanoseconds
 	placement   placementQueue
 	relayServer relayServer
 	peerProbes  sync.Map // by peer address: result of the last readiness probe
@@ -189,6 +190,16 @@
 // loopInterval is the longest time between two passes of the loop.
 const loopInterval = 40 * time.Millisecond
 
+// maxLoopPause is the time without a pass of the loop after which the instance
+// is not ready. It is over a hundred times loopInterval, so that a slow machine
+// or one long pass doesn't take the instance away from its callers.
+const maxLoopPause = 5 * time.Second
+
+// stalled reports whether the loop has made no pass for maxLoopPause.
+func (c *Core) stalled() bool {
+	return c.settings.Uptime()-time.Duration(c.loopedAt.Load()) > maxLoopPause
+}
+
 func (c *Core) loop(ctx context.Context) {
 	t := time.NewTimer(loopInterval)
 	defer t.Stop()
@@ -203,6 +214,7 @@
 		}
 		now := c.settings.Now()
 		c.step(now)
+		c.loopedAt.Store(int64(c.settings.Uptime()))
 		wait := c.untilNextStep(now)
 		c.wakeAt = now.Add(wait)
 		t.Reset(wait)
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -110,6 +110,8 @@
 		return "no configuration yet"
 	case !c.ready.Load():
 		return "the ledger has not been read to its end"
+	case c.stalled():
+		return "the loop makes no progress"
 	case c.Ready():
 		return ""
 	}
