oper: the site command ends if one of its listeners fails

What callers would see: an instance that stays ready without its listener for callers, or without the one for peers, after an error line in its log.

Cause: the error of a listener that had ended was only logged.

Now run shuts down as at SIGTERM, which still serves on the other listeners while callers move away, and returns the error, so that the platform starts the process again. The serve command does so already.

TestSiteEndsIfCorePanics sets the new field listen and is otherwise unchanged.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -108,6 +108,7 @@
 	logger     zerolog.Logger
 	meter      *meter.Set
 	core       *core.Core
+	listen     func(network, addr string) (net.Listener, error)
 	servers    []*http.Server
 	leaving    chan struct{}          // closed when a graceful shutdown begins
 	lastReason atomic.Pointer[string] // why the last check found it not ready, empty if it was ready; nil before the first
@@ -121,7 +122,7 @@
 	if _, err := uptime(); err != nil {
 		return nil, err
 	}
-	s := &siteInstance{settings: settings, logger: logger, meter: meter.New(), leaving: make(chan struct{})}
+	s := &siteInstance{settings: settings, logger: logger, meter: meter.New(), leaving: make(chan struct{}), listen: net.Listen}
 	client := platform.NewHTTPClient()
 	store := &platform.StoreClient{Addr: settings.StoreAddr, HTTP: client}
 	workers := &platform.WorkerClient{Store: store, HTTP: client}
@@ -159,7 +160,7 @@
 	return d
 }
 
-// run runs the instance until ctx is done. It reads the settings file at path
+// run runs the instance until ctx is done or a listener fails. It reads the settings file at path
 // again at each signal on hup.
 func (s *siteInstance) run(ctx context.Context, path string, hup <-chan os.Signal) error {
 	callers := &platform.CallerHandler{Core: s.core, Now: time.Now, Meter: s.meter}
@@ -173,8 +174,9 @@
 		{"metrics", s.settings.MetricsAddr, s.metricsHandler()},
 	}
 	group := parts.New()
+	failed := make(chan error, len(listeners))
 	for _, l := range listeners {
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := s.listen("tcp", l.addr)
 		if err != nil {
 			return errs.At("listen for "+l.name, l.addr, err)
 		}
@@ -183,6 +185,7 @@
 		group.Go(func() {
 			if err := srv.Serve(ln); err != http.ErrServerClosed {
 				s.logger.Error().Err(err).Str("for", l.name).Msg("site: listener ended unexpectedly")
+				failed <- errs.At("serve "+l.name, l.addr, err)
 			}
 		})
 	}
@@ -194,10 +197,13 @@
 		defer close(coreEnded)
 		s.core.Run(coreCtx)
 	})
+	var failure error
 	for running := true; running; {
 		select {
 		case <-ctx.Done():
 			running = false
+		case failure = <-failed:
+			running = false
 		case <-hup:
 			s.reload(path)
 		case <-coreEnded:
@@ -210,7 +216,7 @@
 	}
 	s.stop(stopCore)
 	group.Wait()
-	return nil
+	return failure
 }
 
 // reload reads the settings file again and logs whether it has changed. Changes
--- a/internal/command/oper/site_panic_test.go
+++ b/internal/command/oper/site_panic_test.go
@@ -31,7 +31,7 @@
 	panicNow := make(chan struct{})
 	s := &siteInstance{
 		settings: platform.Settings{CallerAddr: addr(callers), ReadinessAddr: addr(callers + 1), PeerAddr: addr(peers), MetricsAddr: addr(peers + 1)},
-		logger:   zerolog.Nop(), meter: meter.New(), leaving: make(chan struct{}),
+		logger:   zerolog.Nop(), meter: meter.New(), leaving: make(chan struct{}), listen: net.Listen,
 	}
 	s.core = core.New(core.Settings{
 		Instance: "a", Log: store.New(1).Log("a"), ConfigLog: configLog, Now: time.Now, Uptime: func() time.Duration { return 0 }, Logger: zerolog.Nop(), Meter: s.meter,
