state/sched: queries about jobs that have ended don't stay in flight

Cause: the answer to a query about a step that is gone was taken off its client under no step, so the query stayed among those in flight there until the client failed. Since queues share the clients such queries count as used by their queue: each job that was cancelled while it was queried for took one client from the share of its queue.

Change: a query carries the placement of its step, and the answer ends the query and its claims whether the step is still there or not.

TestAnswersAboutEndedJobsFreeClients failed before: after six such jobs a step of the queue gets no client, although one is free and its queue uses none.

--- a/internal/state/sched/clients_test.go
+++ b/internal/state/sched/clients_test.go
@@ -72,3 +72,52 @@
 	play(3000, 5000)
 	is.True(inFlight["first"] > len(names)/2)
 }
+
+// TestAnswersAboutEndedJobsFreeClients guards against queries that count as in
+// flight for good because their job ended before the answer. Their queue seemed
+// to use more clients than its share.
+func TestAnswersAboutEndedJobsFreeClients(t *testing.T) {
+	is := is.New(t)
+	service := flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000}
+	e := readyEngine(t, 200, service)
+	cfg := &flow.Config{Version: 2}
+	for i, name := range []string{"first", "second"} {
+		cfg.Queues = append(cfg.Queues, flow.Queue{Name: name, Policy: flow.Policy{Service: simService, Priority: i, MaxAttempts: 3, PlacementService: service}})
+	}
+	e.SetConfig(cfg)
+	e.HandleProbeResult(testTime(0), "i1", true)
+	e.HandleProbeResult(testTime(0), "i2", true)
+	queriesAt := func(ms int) []PlacementQuery {
+		e.Schedule(testTime(ms))
+		return e.TakeOutput().Queries
+	}
+	var ended []PlacementQuery
+	for i := range 6 {
+		id := fmt.Sprintf("a%d", i)
+		e.AddJob(testTime(1000*i), &flow.Job{Spec: newJobSpec(id, "first", taskStep(1, 1000, 400))})
+		queries := queriesAt(1000 * i)
+		is.Equal(len(queries), 1)
+		e.Cancel(testTime(1000*i+100), id)
+		e.HandleQueryResult(testTime(1000*i+500), queries[0], nil, time.Second, true)
+		ended = append(ended, queries...)
+	}
+	for _, q := range ended {
+		is.Equal(len(e.clients[q.Client].inFlight), 0)
+	}
+	for _, w := range e.workersByID {
+		is.Equal(len(w.claims), 0)
+	}
+	// The second queue has one of the two clients for long queries and finds no
+	// other. The first one gets its share all the same.
+	for i := range 4 {
+		e.AddJob(testTime(6000), &flow.Job{Spec: newJobSpec(fmt.Sprintf("b%d", i), "second", taskStep(1, 1000, 400))})
+	}
+	busy := queriesAt(6000)
+	is.Equal(len(busy), 2)
+	e.AddJob(testTime(6100), &flow.Job{Spec: newJobSpec("a", "first", taskStep(1, 1000, 400))})
+	is.Equal(len(queriesAt(6100)), 0)
+	e.HandleQueryResult(testTime(6200), busy[0], nil, time.Second, true)
+	queries := queriesAt(6200)
+	is.Equal(len(queries), 1)
+	is.Equal(queries[0].Job, "a")
+}
--- a/internal/state/sched/output.go
+++ b/internal/state/sched/output.go
@@ -42,11 +42,12 @@
 	Round        int
 	Step         int
 	Workers      []string
-	ReplyTimeout time.Duration // timeout of the call, including its wait at the instance
-	Quick        bool          // a quick query, which is sent before waiting long ones
-	Queue        string        // of the job
-	SentAt       time.Time     // when the engine emitted it
-	full         []string      // named workers on which no task of the step fitted then
+	ReplyTimeout time.Duration  // timeout of the call, including its wait at the instance
+	Quick        bool           // a quick query, which is sent before waiting long ones
+	Queue        string         // of the job
+	SentAt       time.Time      // when the engine emitted it
+	full         []string       // named workers on which no task of the step fitted then
+	placement    *stepPlacement // of the step, which may have ended when the answer comes
 }
 
 // Change is the new progress of a job to store, or the removal of the job.
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -197,7 +197,7 @@
 		sp.purpose, full = e.recordQuery(now, j, TaskID{Job: j.ID, Round: round, Step: step}, sp, part, duration)
 		e.output.Queries = append(e.output.Queries, PlacementQuery{
 			Client: c.name, Job: j.ID, Round: round, Step: step, Workers: part, ReplyTimeout: c.busyUntil.Sub(now) + queryTimeoutSlack,
-			Quick: quick, Queue: j.Queue, SentAt: now, full: full,
+			Quick: quick, Queue: j.Queue, SentAt: now, full: full, placement: sp,
 		})
 		named = append(named, part...)
 	}
@@ -225,17 +225,16 @@
 // answer.
 func (e *Engine) HandleQueryResult(now time.Time, q PlacementQuery, tickets map[string]string, valid time.Duration, ok bool) {
 	e.recordQueryResult(now, &q, tickets, ok)
-	j := e.jobs[q.Job]
-	if j == nil || j.placements == nil || j.placements[q.Round] == nil || j.placements[q.Round][q.Step] == nil {
-		e.recordClientResult(now, q.Client, nil, ok)
-		return
-	}
-	sp := j.stepPlacement(q.Round, q.Step)
+	sp := q.placement
 	e.recordClientResult(now, q.Client, sp, ok)
 	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
 	if len(sp.queriedBy) == 0 {
 		sp.releaseClaims(id)
 	}
+	j := e.jobs[q.Job]
+	if j == nil || j.placements[q.Round][q.Step] != sp {
+		return // the step is done or its job has ended
+	}
 	if !ok {
 		sp.nextQuery = now.Add(queryRetryPause)
 		e.addEvent("advice-failed", id, 0, q.Client, "", now.Sub(sp.queriedAt))
@@ -250,18 +249,16 @@
 	}
 }
 
-// recordClientResult records whether a client answered its query about a step;
-// sp is nil if the step is gone. If the client did not answer, all steps for
-// which it has queries in flight may be queried through other clients.
+// recordClientResult records whether a client answered its query about a step.
+// If it did not, all steps for which it has queries in flight may be queried
+// through other clients.
 func (e *Engine) recordClientResult(now time.Time, name string, sp *stepPlacement, ok bool) {
 	c := e.clients[name]
 	if c == nil {
 		return
 	}
 	delete(c.inFlight, sp)
-	if sp != nil {
-		delete(sp.queriedBy, c)
-	}
+	delete(sp.queriedBy, c)
 	if ok {
 		c.healthy, c.failures = true, 0
 		if len(c.inFlight) == 0 {
