state/sched: an oversized gang leaves the partial reservation to others

Seen by callers: gangs did not start for as long as a gang waited that is too large for all workers of its service (LOST, SHORT). It needs more than 90 workers and a placement service.

Cause: a gang without room asks for the partial reservation at two places, and only one of them first checked that the gang fits on the empty workers. The other, before a query, recorded the reservation for the oversized gang at each search. Since one gang at a time may have it, no other got it, so no other gang without room reserved or queried.

Change: the check is a part of the admission, so it holds at both places.

TestOversizedGangLeavesReservationToOthers failed before: only the oversized gang queries.

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -297,7 +297,7 @@
 		}
 		return !enough(minNames)
 	})
-	if st.Gang && expectedFit < float64(need) && (knowsEnough || (len(e.workersByID) > maxNamed && !e.admitPartialReservation(p.now, ps))) {
+	if st.Gang && expectedFit < float64(need) && (knowsEnough || (len(e.workersByID) > maxNamed && !e.admitPartialReservation(p.now, ps, st, need))) {
 		return nil
 	}
 	for _, c := range append(claimed, full...) {
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -116,7 +116,7 @@
 		fit += c.fit + c.preemptFit
 	}
 	if fit == 0 || (st.Gang && fit < need) {
-		if st.Gang && len(candidates) > 0 && e.fitsEmptyWorkers(ps, st, need) && e.admitPartialReservation(p.now, ps) {
+		if st.Gang && len(candidates) > 0 && e.admitPartialReservation(p.now, ps, st, need) {
 			e.reservePartially(p, ps, st, candidates, need)
 		}
 		return nil
@@ -217,9 +217,12 @@
 	c.preemptFit = max(fitCount(free, taskSize(st), maxFit)-c.fit, 0)
 }
 
-// admitPartialReservation reports whether the step may have a partial
-// reservation, and if so records it until the reservation expires.
-func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep) bool {
+// admitPartialReservation reports whether a gang with need tasks may have a
+// partial reservation, and if so records it until the reservation expires.
+func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
+	if !e.fitsEmptyWorkers(ps, st, need) {
+		return false
+	}
 	for id, expires := range e.partialReservations {
 		if !now.Before(expires) {
 			delete(e.partialReservations, id)
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // waitForStart runs the simulation until the first task of a job has started,
@@ -115,3 +116,30 @@
 		})
 	}
 }
+
+// TestOversizedGangLeavesReservationToOthers guards against a gang that does not
+// fit on the empty workers either, but keeps other gangs from reserving capacity
+// and from querying.
+func TestOversizedGangLeavesReservationToOthers(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, maxNamedWorkers(true)+10, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+	for _, w := range e.workersByID {
+		w.used = work.Size{CPU: 23500, Memory: 1000}
+		e.index.update(w)
+	}
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("oversized", "q", gangStep(4*len(e.workersByID), 9000, 400))})
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("g", "q", gangStep(40, 9000, 400))})
+	for ms := range 200 {
+		now := testTime(10 * ms)
+		e.Schedule(now)
+		for _, q := range e.TakeOutput().Queries {
+			is.Equal(q.Job, "g")
+			tickets := map[string]string{}
+			for _, w := range q.Workers {
+				tickets[w] = "t"
+			}
+			e.HandleQueryResult(now, q, tickets, 2*time.Second, true)
+		}
+	}
+	is.True(len(e.jobs["g"].stepPlacement(0, 0).reservedOn) > 0)
+}
