--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -143,3 +143,23 @@
 	}
 	is.True(len(e.jobs["g"].stepPlacement(0, 0).reservedOn) > 0)
 }
+
+// TestGangTooLargeForAllowedWorkersReservesNothing guards against capacity that
+// stays reserved for a gang that fits on all workers of its service, but not on
+// those that the placement service allows.
+func TestGangTooLargeForAllowedWorkersReservesNothing(t *testing.T) {
+	for _, workers := range []int{20, 100} {
+		t.Run(fmt.Sprintf("workers=%d", workers), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 12, workers)
+			s.allowedShares = map[string]float64{"q1": 0.1}
+			s.run(time.Second)
+			s.submit(newJobSpec("g", "q1", gangStep(workers/2, 20000, 400)))
+			s.run(5 * time.Second)
+			s.submit(newJobSpec("a", "q2", gangStep(workers, 32000, 400))) // needs all workers
+			s.run(3 * time.Second)
+			is.Equal(s.violations, nil)
+			is.Equal(s.progress("a").State, flow.Complete)
+		})
+	}
+}
