state/sched: repeat the orders to a worker in the order of its tasks

Nothing seen by callers. Simulations of one seed had different outcomes, so a test could fail with a seed and pass in the next run.

Cause: checkWorker went through the runs of a worker in the order of a map. When the stops or starts of several runs were repeated at once, the order of the calls changed from run to run.

Change: the runs with unanswered orders are checked in the order of their tasks.

Loops over maps that are left in the package count, delete, or have their results sorted.

--- a/internal/state/sched/checkqueue.go
+++ b/internal/state/sched/checkqueue.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for _, r := range w.runs {
-		if r.startSent && (r.startUnanswered || (r.stopReason != "" && !r.stopAcked)) {
+		if r.unanswered() {
 			noLaterThan(now.Add(minTickInterval))
 		}
 	}
--- a/internal/state/sched/faults_test.go
+++ b/internal/state/sched/faults_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
@@ -151,3 +152,33 @@
 		}
 	}
 }
+
+// TestRunsOfOneSeedAreEqual guards against decisions that depend on the order of
+// a map, so that a test fails with a seed in one run and passes in the next.
+func TestRunsOfOneSeedAreEqual(t *testing.T) {
+	run := func(seed uint64) (events, done int) {
+		s := newSim(t, seed, 4)
+		s.orderLossRate, s.answerLossRate, s.orderDelayRate, s.taskFailureRate, s.queryLossRate = 0.2, 0.1, 0.03, 0.05, 0.2
+		s.run(time.Second)
+		for i := range 100 {
+			s.submit(newJobSpec(fmt.Sprintf("a%d", i), fmt.Sprintf("q%d", i%3), taskStep(8, 1000, 700)))
+			if i%5 == 0 {
+				s.cancel(fmt.Sprintf("a%d", i/2))
+			}
+			s.run(30 * time.Millisecond)
+		}
+		s.run(5 * time.Second)
+		return s.seq, len(s.done)
+	}
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			events, done := run(seed)
+			for range 2 {
+				again, doneAgain := run(seed)
+				is.Equal(again, events)
+				is.Equal(doneAgain, done)
+			}
+		})
+	}
+}
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -121,6 +121,12 @@
 	e.output.Orders = append(e.output.Orders, Order{Kind: OrderStop, Worker: r.worker.ID, Addr: r.worker.Addr, Task: r.id, Run: r.number})
 }
 
+// unanswered reports whether a start or stop of the run was sent that is not known
+// to have been carried out.
+func (r *run) unanswered() bool {
+	return r.startSent && (r.startUnanswered || (r.stopReason != "" && !r.stopAcked))
+}
+
 // checkRun repeats a start or stop that got no answer when that is due. It
 // stops the run when its start may not be repeated any more.
 func (e *Engine) checkRun(now time.Time, r *run) {
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -192,7 +192,7 @@
 	if !w.reachable() && now.After(w.leasesExpireBy) && len(w.runs) > 0 {
 		e.expireLeases(now, w)
 	}
-	for _, r := range w.runs {
+	for _, r := range w.unansweredRuns() {
 		e.checkRun(now, r)
 	}
 	e.stopStalledRuns(now, w)
@@ -244,10 +244,27 @@
 	for _, r := range w.runs {
 		runs = append(runs, r)
 	}
-	sort.Slice(runs, func(i, k int) bool { return runs[i].id.less(runs[k].id) })
+	sortRuns(runs)
 	return runs
 }
 
+// unansweredRuns returns the worker's runs with a start or stop that got no
+// answer, ordered by task.
+func (w *worker) unansweredRuns() []*run {
+	var runs []*run
+	for _, r := range w.runs {
+		if r.unanswered() {
+			runs = append(runs, r)
+		}
+	}
+	sortRuns(runs)
+	return runs
+}
+
+func sortRuns(runs []*run) {
+	sort.Slice(runs, func(i, k int) bool { return runs[i].id.less(runs[k].id) })
+}
+
 func (t TaskID) less(u TaskID) bool {
 	if t.Job != u.Job {
 		return t.Job < u.Job
