--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -330,7 +330,7 @@
 	if known >= knownRoomFactor*len(ps.idleTasks) {
 		return false
 	}
-	return !st.Gang || len(e.workersByID) <= maxNamedWorkers(true) || e.admitPartialReservation(p.now, ps)
+	return !st.Gang || len(e.workersByID) <= maxNamedWorkers(true) || e.admitPartialReservation(p.now, ps, st, len(ps.idleTasks))
 }
 
 // maxNamedWorkers returns how many workers the queries about a step that are in
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -116,7 +116,7 @@
 		fit += c.fit + c.preemptFit
 	}
 	if fit == 0 || (st.Gang && fit < need) {
-		if st.Gang && len(candidates) > 0 && e.fitsEmptyWorkers(ps, st, need) && e.admitPartialReservation(p.now, ps) {
+		if st.Gang && len(candidates) > 0 && e.admitPartialReservation(p.now, ps, st, need) {
 			e.reservePartially(p, ps, st, candidates, need)
 		}
 		return nil
@@ -151,15 +151,17 @@
 }
 
 // fitsEmptyWorkers reports whether need tasks of the step would fit on the
-// workers of its service if these were empty. Capacity reserved for a gang that
-// does not fit even then would stay unused.
+// workers of its service if these were empty, without those that the placement
+// service has rejected. Capacity reserved for a gang that does not fit even then
+// would stay unused.
 func (e *Engine) fitsEmptyWorkers(ps pendingStep, st *flow.Step, need int) bool {
 	service, perWorker := e.policy(ps.job).Service, need
 	if st.MaxPerWorker > 0 {
 		perWorker = min(perWorker, st.MaxPerWorker)
 	}
+	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	for _, w := range e.workersByID {
-		if w.listed && !w.Draining && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
+		if w.listed && !w.Draining && !sp.rejected[w.ID] && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
 			need -= fitCount(w.Capacity, taskSize(st), perWorker)
 		}
 		if need <= 0 {
@@ -217,9 +219,12 @@
 	c.preemptFit = max(fitCount(free, taskSize(st), maxFit)-c.fit, 0)
 }
 
-// admitPartialReservation reports whether the step may have a partial
-// reservation, and if so records it until the reservation expires.
-func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep) bool {
+// admitPartialReservation reports whether a gang with need tasks may have a
+// partial reservation, and if so records it until the reservation expires.
+func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
+	if !e.fitsEmptyWorkers(ps, st, need) {
+		return false
+	}
 	for id, expires := range e.partialReservations {
 		if !now.Before(expires) {
 			delete(e.partialReservations, id)
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // waitForStart runs the simulation until the first task of a job has started,
@@ -115,3 +116,50 @@
 		})
 	}
 }
+
+// TestOversizedGangLeavesReservationToOthers guards against a gang that does not
+// fit on the empty workers either, but keeps other gangs from reserving capacity
+// and from querying.
+func TestOversizedGangLeavesReservationToOthers(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, maxNamedWorkers(true)+10, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+	for _, w := range e.workersByID {
+		w.used = work.Size{CPU: 23500, Memory: 1000}
+		e.index.update(w)
+	}
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("oversized", "q", gangStep(4*len(e.workersByID), 9000, 400))})
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("g", "q", gangStep(40, 9000, 400))})
+	for ms := range 200 {
+		now := testTime(10 * ms)
+		e.Schedule(now)
+		for _, q := range e.TakeOutput().Queries {
+			is.Equal(q.Job, "g")
+			tickets := map[string]string{}
+			for _, w := range q.Workers {
+				tickets[w] = "t"
+			}
+			e.HandleQueryResult(now, q, tickets, 2*time.Second, true)
+		}
+	}
+	is.True(len(e.jobs["g"].stepPlacement(0, 0).reservedOn) > 0)
+}
+
+// TestGangTooLargeForAllowedWorkersReservesNothing guards against capacity that
+// stays reserved for a gang that fits on all workers of its service, but not on
+// those that the placement service allows.
+func TestGangTooLargeForAllowedWorkersReservesNothing(t *testing.T) {
+	for _, workers := range []int{20, 100} {
+		t.Run(fmt.Sprintf("workers=%d", workers), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 12, workers)
+			s.allowedShares = map[string]float64{"q1": 0.1}
+			s.run(time.Second)
+			s.submit(newJobSpec("g", "q1", gangStep(workers/2, 20000, 400)))
+			s.run(5 * time.Second)
+			s.submit(newJobSpec("a", "q2", gangStep(workers, 32000, 400))) // needs all workers
+			s.run(3 * time.Second)
+			is.Equal(s.violations, nil)
+			is.Equal(s.progress("a").State, flow.Complete)
+		})
+	}
+}
