--- a/internal/state/sched/clients_test.go
+++ b/internal/state/sched/clients_test.go
@@ -105,7 +105,7 @@
 		is.Equal(len(e.clients[q.Client].inFlight), 0)
 	}
 	for _, w := range e.workersByID {
-		is.Equal(len(w.claims), 0)
+		is.Equal(len(w.softReservations), 0)
 	}
 	// The second queue has one of the two clients for long queries and finds no
 	// other. The first one gets its share all the same.
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -226,7 +226,7 @@
 		}
 	}
 	if named := e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers); len(named) > 0 {
-		e.claimWorkers(p, ps, named, need, p.now.Add(queryDuration(policy.PlacementService, maxQueryWorkers)+queryTimeoutSlack))
+		e.softReserve(p, ps, named, need, p.now.Add(queryDuration(policy.PlacementService, maxQueryWorkers)+queryTimeoutSlack))
 	}
 }
 
@@ -275,14 +275,14 @@
 	enough := func(minNames int) bool {
 		return expectedFit >= float64(need) && len(names) >= minNames
 	}
-	var claimed []*candidate
+	var softReserved []*candidate // with room only in soft reservations of others
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
 		if !sp.answered(c.worker) {
-			if fit := unclaimedFit(p, ps, c); fit > 0 {
+			if fit := fitBesideSoftReservations(p, ps, c); fit > 0 {
 				names = append(names, c.worker.ID)
 				expectedFit += float64(fit) * share
 			} else {
-				claimed = append(claimed, c)
+				softReserved = append(softReserved, c)
 			}
 		}
 		// The room for a gang is counted over all workers, to know whether it fits.
@@ -294,7 +294,7 @@
 		}
 		return names
 	}
-	for _, c := range append(claimed, full...) {
+	for _, c := range append(softReserved, full...) {
 		if enough(0) || len(names) >= maxNames {
 			break
 		}
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -62,7 +62,7 @@
 	purpose        QueryPurpose              // of the newest queries
 	nextQuery      time.Time                 // earliest time of the next query
 	nextSearch     time.Time                 // earliest time of the next search for workers to query
-	claimedOn      []*worker                 // workers with a claim of the step
+	softReservedOn []*worker                 // workers with a soft reservation for the step
 	reservedOn     []*worker                 // workers with a reservation for the step
 	nextPreemption time.Time                 // earliest time of the next preemption for the step
 	lastFailure    time.Time                 // when the end of a failed run of the step was last reported
@@ -229,7 +229,7 @@
 	e.recordClientResult(now, q.Client, sp, ok)
 	id := TaskID{Job: q.Job, Round: q.Round, Step: q.Step}
 	if len(sp.queriedBy) == 0 {
-		sp.releaseClaims(id)
+		sp.releaseSoftReservations(id)
 	}
 	j := e.jobs[q.Job]
 	if j == nil || j.placements[q.Round][q.Step] != sp {
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -140,7 +140,7 @@
 			t.Errorf("both queries name worker %q", w)
 		}
 	}
-	// Without an answer the claims expire, and the workers may be named again.
+	// Without an answer the soft reservations expire, and the workers may be named again.
 	e.AddJob(testTime(3000), &flow.Job{Spec: newJobSpec("c", "q", taskStep(1, 30000, 400))})
 	e.Schedule(testTime(3000))
 	queries = e.TakeOutput().Queries
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -18,8 +18,9 @@
 	WaitQuerying
 	// WaitRenewing: the renewal of tickets is in flight.
 	WaitRenewing
-	// WaitNoTicket: no worker is known that may run it, and nothing prevents a
-	// query. All workers have been rejected, or the next pass sends the query.
+	// WaitNoTicket: no worker is known that may run it, and a client is free. The
+	// next pass sends the query, unless all workers have been rejected or the step
+	// waits for free capacity before it queries.
 	WaitNoTicket
 	// WaitExpired: its tasks would fit on permitted workers, but their tickets
 	// have expired and nothing prevents the renewal.
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -50,14 +50,14 @@
 // worker is the leader's state of one worker.
 type worker struct {
 	WorkerInfo
-	listed          bool
-	missingSince    time.Time // when it was first missing from the list, zero if it is not
-	lastIncarnation int64     // incarnation of the last report, 0 before the first
-	runs            map[TaskID]*run
-	used            work.Size        // total size of runs
-	unknownRuns     int              // unknown runs in its last report
-	reservations    []reservation    // capacity reserved for pending steps
-	claims          map[TaskID]claim // claims of steps with queries in flight, by step
+	listed           bool
+	missingSince     time.Time // when it was first missing from the list, zero if it is not
+	lastIncarnation  int64     // incarnation of the last report, 0 before the first
+	runs             map[TaskID]*run
+	used             work.Size                  // total size of runs
+	unknownRuns      int                        // unknown runs in its last report
+	reservations     []reservation              // capacity reserved for pending steps
+	softReservations map[TaskID]softReservation // of steps with queries in flight, by step
 
 	clock       time.Duration // worker's clock at clockReadAt
 	clockReadAt time.Time     // zero before the first report
