state/sched: look for a free client before the shares of the queues

Nothing seen by callers. Since queues share the placement clients a pass that leaves hundreds of steps waiting for a client took three times as long: for each step it counted the queries in flight at all clients, although no client was free anyway. The pass is repeated up to a hundred times a second.

Change: the share is computed only for a step for which a client is free. The decisions are the same; TestBatchJobsAreServedBesideGangs has the same counts.

--- a/internal/state/sched/bench_test.go
+++ b/internal/state/sched/bench_test.go
@@ -25,6 +25,33 @@
 	}
 }
 
+// BenchmarkPassWithoutFreeClient measures a scheduling pass in which all steps
+// but a few wait for one of 30 placement clients.
+func BenchmarkPassWithoutFreeClient(b *testing.B) {
+	for _, n := range []int{50, 500} {
+		b.Run(fmt.Sprintf("steps=%d", n), func(b *testing.B) {
+			e := readyEngine(b, 350, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+			var names []string
+			for i := range 30 {
+				names = append(names, fmt.Sprintf("i%02d", i))
+			}
+			e.SetPlacementClients(names[0], names)
+			for _, name := range names {
+				e.HandleProbeResult(testTime(0), name, true)
+			}
+			for i := range n {
+				e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", taskStep(1, 1000, 400))})
+			}
+			e.Schedule(testTime(0))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				e.Schedule(testTime(5))
+			}
+		})
+	}
+}
+
 // runPass submits the i-th job, of three short tasks, makes a scheduling pass,
 // and reports the job's tasks as started and done.
 func runPass(e *Engine, now time.Time, i int) {
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -146,11 +146,9 @@
 		}
 	}
 	wait := maxQuickQueryWait
-	if duration > maxQuickQuery {
+	long := duration > maxQuickQuery
+	if long {
 		healthy, wait = healthy[e.quickOnlyClients(now, len(healthy)):], maxLongQueryWait
-		if e.exceedsClientShare(now, queue, len(healthy)) {
-			return nil
-		}
 	}
 	var best *placementClient
 	for _, c := range healthy {
@@ -158,7 +156,7 @@
 			best = c
 		}
 	}
-	if best == nil || best.busyUntil.Sub(now) > wait {
+	if best == nil || best.busyUntil.Sub(now) > wait || (long && e.exceedsClientShare(now, queue, len(healthy))) {
 		return nil
 	}
 	return best
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -98,7 +98,7 @@
 // readyEngine returns an engine with idle workers of 32 cores that have
 // answered a poll, one queue whose policy has the given placement service, and
 // three placement clients.
-func readyEngine(t *testing.T, workers int, service flow.PlacementService) *Engine {
+func readyEngine(t testing.TB, workers int, service flow.PlacementService) *Engine {
 	t.Helper()
 	now := testTime(-100)
 	e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
