coordination/core: calls move on from peers that are not ready

Seen by callers: an instance without the store answered 503, or a status that was old, although peers were ready (LOST, MIXED). It needs at least three peers.

Cause: a call is forwarded to one of two peers, and each call chose the same two: the first by failure domain and incarnation. While these were down, as in a zone that is lost, no other peer was tried. The records of instances that were replaced are never removed, so two of them could be the choice for good.

Change: peers that were not ready at their last probe come last. A call still probes two peers at most; the next call goes on with others.

--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -149,26 +149,29 @@
 	return err
 }
 
+// peerProbe is the result of a readiness probe of a peer.
+type peerProbe struct {
+	at    time.Time
+	ready bool
+}
+
 // peerReady reports whether a peer is ready, by a probe no older than probeTTL.
 func (c *Core) peerReady(ctx context.Context, addr string) bool {
-	type probe struct {
-		at    time.Time
-		ready bool
-	}
 	now := c.settings.Now()
-	if v, ok := c.peerProbes.Load(addr); ok && now.Sub(v.(probe).at) < probeTTL {
-		return v.(probe).ready
+	if v, ok := c.peerProbes.Load(addr); ok && now.Sub(v.(peerProbe).at) < probeTTL {
+		return v.(peerProbe).ready
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	ready := c.settings.Peers.Ready(ctx, addr)
-	c.peerProbes.Store(addr, probe{at: c.settings.Now(), ready: ready})
+	c.peerProbes.Store(addr, peerProbe{at: c.settings.Now(), ready: ready})
 	return ready
 }
 
-// forwardTargets returns the addresses of up to maxForwards peers. Peers of
-// other failure domains come first, since the fault that cut this instance off
-// may affect its whole domain.
+// forwardTargets returns the addresses of up to maxForwards peers. Peers that
+// were not ready at their last probe come last, so that others are tried in turn
+// until one is ready. Peers of other failure domains come first, since the fault
+// that cut this instance off may affect its whole domain.
 func (c *Core) forwardTargets() []string {
 	peers := c.peers.Load()
 	if peers == nil {
@@ -180,7 +183,16 @@
 			list = append(list, p)
 		}
 	}
+	notReady := map[string]bool{}
+	for _, p := range list {
+		if v, ok := c.peerProbes.Load(p.Addr); ok {
+			notReady[p.Addr] = !v.(peerProbe).ready
+		}
+	}
 	sort.Slice(list, func(i, k int) bool {
+		if a, b := notReady[list[i].Addr], notReady[list[k].Addr]; a != b {
+			return b
+		}
 		a, b := list[i].Domain == c.settings.Domain, list[k].Domain == c.settings.Domain
 		if a != b {
 			return b
