coordination/ledger: a load goes on after a failed page

Cause: a load reads the newest record of each key, up to 500 a page, and began anew when one page failed. With thousands of jobs it has dozens of pages.

Change: the pages that were read are kept, and the next try goes on with the page that failed.

TestReaderLoadsLargeStateDespiteFailedPages failed before: nothing loaded after 10 s with 40 pages and every fifth call failing.

--- a/internal/coordination/ledger/reader.go
+++ b/internal/coordination/ledger/reader.go
@@ -43,7 +43,9 @@
 	// Now returns the present time.
 	Now func() time.Time
 
-	size ReadSize // used by Run only
+	size    ReadSize // used by Run only
+	loading *Batch   // the pages of a load that is not complete; used by Run only
+	after   string   // the last key in loading; used by Run only
 
 	mu               sync.Mutex    // guards the fields below
 	nextCaughtUp     chan struct{} // closed after the next read that reaches the end of the log; nil if nobody waits
@@ -59,6 +61,7 @@
 		var b Batch
 		if r.takeRestartRequest() {
 			next = -1 // remains until the newest records have been read
+			r.loading = nil
 		}
 		if next < 0 {
 			b = r.loadNewest(ctx, start)
@@ -109,11 +112,15 @@
 // loadNewest reads the newest record of each key. Records may be appended
 // between the pages, so the log must then be read from where it ended at the
 // first page. The state is complete once it has been read to where it ended at
-// the last page.
+// the last page. After a failed page the next call goes on with that page, so
+// that a large state is loaded although some of its pages fail.
 func (r *Reader) loadNewest(ctx context.Context, start time.Time) Batch {
-	b := Batch{Reset: true, SentAt: start, NextOffset: -1}
-	for after := ""; ; {
-		page, err := r.readNewestPage(ctx, after)
+	if r.loading == nil {
+		r.loading, r.after = &Batch{Reset: true, NextOffset: -1}, ""
+	}
+	b := r.loading
+	for {
+		page, err := r.readNewestPage(ctx, r.after)
 		if err != nil {
 			return Batch{Err: err, SentAt: start}
 		}
@@ -123,9 +130,11 @@
 		}
 		b.CompleteOffset = page.LogEnd
 		if !page.More || page.LastKey == "" {
-			return b
+			r.loading = nil
+			b.SentAt = start
+			return *b
 		}
-		after = page.LastKey
+		r.after = page.LastKey
 	}
 }
 
--- a/internal/coordination/ledger/reader_test.go
+++ b/internal/coordination/ledger/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -115,3 +116,46 @@
 		})
 	}
 }
+
+// TestReaderLoadsLargeStateDespiteFailedPages guards against a reader that begins
+// a load anew at each failed page, so that a state of many pages is never loaded
+// while some of the calls fail.
+func TestReaderLoadsLargeStateDespiteFailedPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const pages = 40
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		calls := 0
+		var loaded ledger.Batch
+		r := &ledger.Reader{
+			Log: ledger.Log{
+				ReadNewest: func(_ context.Context, after string) (ledger.NewestPage, error) {
+					if calls++; calls%5 == 0 {
+						return ledger.NewestPage{}, store.ErrNoAnswer
+					}
+					n, _ := strconv.Atoi(after) // 0 for the first page
+					key := strconv.Itoa(n + 1)
+					return ledger.NewestPage{Records: []ledger.Record{{Key: key}}, LastKey: key, More: n+1 < pages, LogEnd: int64(100 + n)}, nil
+				},
+				Read: func(context.Context, int64, int, time.Duration) (ledger.Page, error) {
+					return ledger.Page{}, store.ErrNoAnswer
+				},
+			},
+			ReadInterval: func() time.Duration { return 80 * time.Millisecond }, Now: time.Now,
+			Deliver: func(b ledger.Batch) {
+				if b.Reset {
+					loaded = b
+				}
+			},
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { r.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		cancel()
+		wg.Wait()
+		is.Equal(len(loaded.Records), pages)
+		is.Equal(loaded.NextOffset, int64(100))
+		is.Equal(loaded.CompleteOffset, int64(100+pages-1))
+	})
+}
