state/sched: a waiting gang does not keep a higher priority from reserving

Found in the review, not seen by callers: since one gang at a time reserves capacity partially, a gang of a low priority that gets it first keeps it from each gang of a higher priority that comes later, for as long as it waits.

Only gangs of the same or a higher priority count now. Reservations of lower priorities never held capacity back from higher ones, so the later gang takes what becomes free.

TestGangReservesBesideWaitingGangOfLowerPriority failed before (10 s and more; 0.96 s without the other gang). Other tests as before.

--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -87,8 +87,8 @@
 	activity             Activity      // since it was last taken
 	nextTick             time.Time
 	nextCleanup          time.Time
-	partialReservations  map[TaskID]time.Time // expiry of partial reservations, by step
-	nextInTurn           int                  // among the pending steps evaluated in turn, the one with which the next pass begins
+	partialReservations  map[TaskID]partialReservation // by step
+	nextInTurn           int                           // among the pending steps evaluated in turn, the one with which the next pass begins
 }
 
 // job is a job with the state that the engine derives from it.
@@ -109,7 +109,7 @@
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
 		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
-		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, partialReservations: map[TaskID]time.Time{},
+		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, partialReservations: map[TaskID]partialReservation{},
 	}
 }
 
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -19,8 +19,9 @@
 	// minPreemptionAge is the time since its start before which a run is not
 	// preempted.
 	minPreemptionAge = 300 * time.Millisecond
-	// maxPartialReservations is the number of steps that may have a partial
-	// reservation at a time, one that does not suffice for the step yet.
+	// maxPartialReservations is the number of gangs that may have a partial
+	// reservation at a time, not counting those of a lower priority. Several gangs
+	// that each hold a part of what they need keep it from each other.
 	maxPartialReservations = 1
 )
 
@@ -32,6 +33,13 @@
 	expires  time.Time
 }
 
+// partialReservation marks a gang that does not fit yet and for which what is
+// free is reserved until it fits.
+type partialReservation struct {
+	priority int // of the gang's queue
+	expires  time.Time
+}
+
 // stepID returns the ID of the step, which is that of its first task.
 func (ps pendingStep) stepID() TaskID {
 	return TaskID{Job: ps.job.ID, Round: ps.round.Number, Step: ps.step}
@@ -220,20 +228,25 @@
 }
 
 // admitPartialReservation reports whether a gang with need tasks may have a
-// partial reservation, and if so records it until the reservation expires.
+// partial reservation beside those of the same or a higher priority, and if so
+// records it until it expires.
 func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
 	if !e.fitsEmptyWorkers(ps, st, need) {
 		return false
 	}
-	for id, expires := range e.partialReservations {
-		if !now.Before(expires) {
-			delete(e.partialReservations, id)
+	id, others := ps.stepID(), 0
+	for other, res := range e.partialReservations {
+		switch {
+		case !now.Before(res.expires):
+			delete(e.partialReservations, other)
+		case other != id && res.priority <= ps.priority:
+			others++
 		}
 	}
-	if _, ok := e.partialReservations[ps.stepID()]; !ok && len(e.partialReservations) >= maxPartialReservations {
+	if others >= maxPartialReservations {
 		return false
 	}
-	e.partialReservations[ps.stepID()] = now.Add(reservationTime)
+	e.partialReservations[id] = partialReservation{priority: ps.priority, expires: now.Add(reservationTime)}
 	return true
 }
 
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -163,3 +163,42 @@
 		})
 	}
 }
+
+// TestGangReservesBesideWaitingGangOfLowerPriority guards against a gang that
+// waits for as long as a gang of a lower priority reserves capacity partially.
+func TestGangReservesBesideWaitingGangOfLowerPriority(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 8, 4)
+	for i := range s.config.Queues {
+		s.config.Queues[i].Policy.PlacementService = flow.PlacementService{}
+	}
+	s.run(time.Second)
+	n := 0
+	submitShortJob := func() {
+		s.submit(newJobSpec(fmt.Sprintf("f%d", n), "q1", taskStep(4, 4000, 700)))
+		n++
+	}
+	for range 8 {
+		submitShortJob()
+	}
+	s.run(100 * time.Millisecond)
+	s.submit(newJobSpec("lower", "q2", gangStep(8, 15000, 500)))
+	for range 10 {
+		submitShortJob()
+		s.run(80 * time.Millisecond)
+	}
+	s.submit(newJobSpec("higher", "q1", gangStep(8, 15000, 500)))
+	var waited time.Duration
+	for p := s.progress("higher"); p.State == flow.Queued && waited < 10*time.Second; p = s.progress("higher") {
+		submitShortJob()
+		s.run(80 * time.Millisecond)
+		waited += 80 * time.Millisecond
+	}
+	// The same bound as without the other gang.
+	if waited > 2*time.Second {
+		t.Errorf("the gang of the higher priority started after %v; want at most 2s", waited)
+	}
+	s.run(30 * time.Second)
+	is.Equal(s.violations, nil)
+	is.Equal(s.progress("higher").State, flow.Complete)
+}
