--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -71,7 +71,8 @@
 
 // StatusOrForward returns a job's status from this instance or, if this
 // instance can't determine it, from a peer. An instance that is behind asks a
-// peer even if it has a status of the job, since that may be stale. The errors are those of Status, or ErrOutcomeUnknown.
+// peer even if it has a status of the job, since that may be stale. The errors
+// are those of Status, or ErrOutcomeUnknown.
 func (c *Core) StatusOrForward(ctx context.Context, id string) (flow.Status, error) {
 	st, err := c.Status(ctx, id)
 	if err == nil && !st.State.Final() && c.behind(c.settings.Uptime()) {
