coordination/leader: no ends are acknowledged without the leader lease

Seen by callers (request path, serve): after a leader was suspended and woken, jobs of its domain stayed "running" for up to two minutes, and a task that had ended as done ran again.

Cause: a leader that wakes up past its lease handles the sync replies that waited meanwhile. It does not know the attempts that its successor assigned, takes their ends for recorded ones and acknowledged them with its next sync. The worker then hides these ends from the successor, which learns only from the next full inventory, two minutes later, that the tasks are gone.

Ends are now acknowledged only under the leader lease, as leases of tasks are renewed: nobody else can have assigned anything then.

`site` is not concerned: its workers refuse calls of an earlier term.

--- a/internal/coordination/leader/session.go
+++ b/internal/coordination/leader/session.go
@@ -98,13 +98,19 @@
 }
 
 // nextSyncRequest returns the next request to a worker, its address and the
-// sending time. Leases are renewed only under the leader lease. They are not
-// renewed on a worker that does not answer, so that they expire.
+// sending time. Leases are renewed and ends acknowledged only under the leader
+// lease: without it another leader may have assigned attempts that this one does
+// not know, whose ends it would take for recorded. Leases are not renewed on a
+// worker that does not answer, so that they expire.
 func (d *Domain) nextSyncRequest(l *leadership, ws *workerSession) (SyncRequest, string, time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.cfg.Now()
-	req := SyncRequest{AckedEnd: ws.ackedEnd, KnownVersion: ws.inventoryVersion}
+	req := SyncRequest{KnownVersion: ws.inventoryVersion}
+	mayAct := d.mayAct(l, now)
+	if mayAct {
+		req.AckedEnd = ws.ackedEnd
+	}
 	if !ws.synced {
 		req.KnownVersion = 0
 		return req, ws.addr, now // no wait: the full inventory is needed at once
@@ -113,7 +119,7 @@
 	if now.Sub(ws.fullInventoryAt) > fullInventoryInterval {
 		req.KnownVersion = 0
 	}
-	if !d.mayAct(l, now) {
+	if !mayAct {
 		return req, ws.addr, now
 	}
 	req.Renew = len(d.state.TasksByWorker[ws.name]) > 0
