--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -160,8 +160,8 @@
 	return d
 }
 
-// run runs the instance until ctx is done or a listener fails. It reads the settings file at path
-// again at each signal on hup.
+// run runs the instance until ctx is done or a listener fails. It reads the
+// settings file at path again at each signal on hup.
 func (s *siteInstance) run(ctx context.Context, path string, hup <-chan os.Signal) error {
 	callers := &platform.CallerHandler{Core: s.core, Now: time.Now, Meter: s.meter}
 	listeners := []struct {
