state/sched: a test that quick queries are not held back for lack of room

The rule came without a test. An example in a doc comment names no real issue.

Conclusion: no behaviour changes.

--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -238,26 +238,40 @@
 
 // TestGangsWithoutRoomLeaveClientsToOthers guards against gangs that query about
 // workers without free capacity, which does not let them start. Only gangs that
-// may reserve capacity partially need to know such workers.
+// may reserve capacity partially need to know such workers, and gangs whose
+// queries are quick, which may preempt there.
 func TestGangsWithoutRoomLeaveClientsToOthers(t *testing.T) {
-	is := is.New(t)
-	e := readyEngine(t, 200, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
-	names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"}
-	e.SetPlacementClients("i0", names)
-	for _, name := range names {
-		e.HandleProbeResult(testTime(0), name, true)
-	}
-	for _, w := range e.workersByID {
-		w.used = work.Size{CPU: 23500, Memory: 1000}
-		e.index.update(w)
-	}
-	for i := range 6 {
-		e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", gangStep(4, 9000, 400))})
+	const gangs = 6
+	tests := []struct {
+		name    string
+		service flow.PlacementService
+		want    int // gangs that query
+	}{
+		{"long queries", flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000}, maxPartialReservations},
+		{"quick queries", flow.PlacementService{CallMs: 5, PerWorkerMs: 0.1, TicketValidMs: 2000}, gangs},
 	}
-	e.Schedule(testTime(0))
-	jobs := map[string]bool{}
-	for _, q := range e.TakeOutput().Queries {
-		jobs[q.Job] = true
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := readyEngine(t, 200, tt.service)
+			names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7", "i8"}
+			e.SetPlacementClients("i0", names)
+			for _, name := range names {
+				e.HandleProbeResult(testTime(0), name, true)
+			}
+			for _, w := range e.workersByID {
+				w.used = work.Size{CPU: 23500, Memory: 1000}
+				e.index.update(w)
+			}
+			for i := range gangs {
+				e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", gangStep(4, 9000, 400))})
+			}
+			e.Schedule(testTime(0))
+			jobs := map[string]bool{}
+			for _, q := range e.TakeOutput().Queries {
+				jobs[q.Job] = true
+			}
+			is.Equal(len(jobs), tt.want)
+		})
 	}
-	is.Equal(len(jobs), maxPartialReservations)
 }
--- a/internal/testing/known/main.go
+++ b/internal/testing/known/main.go
@@ -9,7 +9,7 @@
 //
 //	./internal/state/work TestName/subtest
 //	    go test -run '^TestName$/^subtest$' ./internal/state/work, seed 20261204
-//	    runs a task twice after a restart; issue 7
+//	    runs a task twice after a restart; issue N
 //
 // The result of a listed test does not change the exit code, as it may be
 // flaky. An invalid list and an entry without a test do. Of the go test flags,
