coordination/core: a leader behind the ledger starts no tasks

Cause: the leader learns of a cancellation by reading the ledger. While its reads are late (here since all 147 instances share the store's read bandwidth), it goes on to place tasks by a state that is seconds old. The appends of the same leader are confirmed in time, so nothing stopped it.

Ruled out: a second leader (one term from start to end), a relay that sends late (the start was ordered half a second before it began).

Conclusion: starts are refused, as while leases may not be renewed, once the newest read to the ledger's end is maxStateAge (2 s) old.

--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -230,7 +230,9 @@
 
 // dispatch sends the orders, placement queries and probes that the engine has
 // queued. While this leader may not renew leases, it sends orders without a
-// lease, and reports starts to the engine as refused instead of sending them.
+// lease. Starts are then reported to the engine as refused instead of being
+// sent, and also while the leader's state is older than maxStateAge: a job to
+// start may have been cancelled since.
 func (c *Core) dispatch(now time.Time) {
 	out := c.engine.TakeOutput()
 	c.logEvents(out.Events)
@@ -239,14 +241,15 @@
 		return
 	}
 	term, mayRenew := c.election.term, c.mayRenewLeases()
+	mayStart := mayRenew && c.current(c.settings.Uptime())
 	batches := map[string][]NumberedOrder{}
 	for _, o := range out.Orders {
+		if o.Kind == sched.OrderStart && !mayStart {
+			c.engine.HandleStartAnswer(now, o, sched.AnswerRefused, 0)
+			continue
+		}
 		if !mayRenew {
 			o.LeaseExpiry = 0
-			if o.Kind == sched.OrderStart {
-				c.engine.HandleStartAnswer(now, o, sched.AnswerRefused, 0)
-				continue
-			}
 		}
 		if name := c.relayFor(now, o.Worker); name != "" {
 			batches[name] = append(batches[name], c.trackOrder(now, name, o))
