state/roles, coordination/core: a few replicas per failure domain follow the ledger

Cause: all 147 instances read every record of the ledger, and a job's progress is written whole at each change. Together they ask for more than the store's read bandwidth, so every instance is seconds behind. They also append their own jobs, one call each; the partition takes one append at a time (2 ms), and the leader's records wait behind them.

Now twelve instances of a site, and at least three in each failure domain, are replicas: they follow the ledger, answer callers and may lead. Those on the best-provisioned machines come first. The others pass their callers' calls on to a replica, of their own failure domain if one answers. Instances find each other in a log of its own, the directory. Silent replicas are replaced. On sites of up to twelve instances all are replicas, as before. Candidates on equal machines now stand one after another instead of in slots by hash; some slots were empty, and a takeover took up to 620 ms with five candidates.

Weighed: records by job in several partitions (147 readers still read all of it); the state of each job alone in a compact stream (a second record for each change, and accepted jobs would wait for the leader to be seen); a tree of readers (each hop adds a read's delay).

The test of the intake's panic submits a job now, since the instance's registration is no longer an append of the intake; registration, directory and ledger reader have cases of their own.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -130,9 +130,9 @@
 	peers := cell.NewClient(client)
 	s.core = core.New(core.Settings{
 		Instance: settings.Instance, Incarnation: hex.EncodeToString(incarnation), Domain: settings.Domain, Addr: settings.PeerAddr, Machine: settings.Machine, Params: settings.Params,
-		Log: store.Ledger(), ConfigLog: store.OperatorLog(), DecodeConfig: platform.DecodeConfig, Workers: workers.Calls(),
+		Log: store.Ledger(), Directory: store.Directory(), ConfigLog: store.OperatorLog(), DecodeConfig: platform.DecodeConfig, Workers: workers.Calls(),
 		Placement: core.PlacementCalls{Local: placement.RequestTickets, ViaPeer: peers.RequestTickets},
-		Peers:     core.PeerCalls{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Ready: peers.Ready},
+		Peers:     core.PeerCalls{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Pending: peers.Pending, Ready: peers.Ready},
 		Relay:     core.RelayCalls{SendOrders: peers.SendOrders, FetchAnswers: peers.FetchAnswers},
 		Now:       time.Now, Uptime: s.uptime, Logger: logger, Meter: s.meter,
 	})
--- a/internal/command/oper/site_listener_test.go
+++ b/internal/command/oper/site_listener_test.go
@@ -41,7 +41,7 @@
 		},
 	}
 	s.core = core.New(core.Settings{
-		Instance: "a", Log: store.New(1).Log("a"), ConfigLog: store.New(2).Log("a"), Now: time.Now, Uptime: func() time.Duration { return 0 }, Logger: zerolog.Nop(), Meter: s.meter,
+		Instance: "a", Log: store.New(1).Log("a"), ConfigLog: store.New(2).Log("a"), Directory: store.New(3).Log("a"), Now: time.Now, Uptime: func() time.Duration { return 0 }, Logger: zerolog.Nop(), Meter: s.meter,
 		DecodeConfig: func(ledger.Record) (*flow.Config, error) { return nil, nil },
 		Workers:      core.WorkerCalls{List: func(context.Context) ([]sched.WorkerInfo, error) { return nil, nil }},
 	})
--- a/internal/command/oper/site_panic_test.go
+++ b/internal/command/oper/site_panic_test.go
@@ -34,7 +34,7 @@
 		logger:   zerolog.Nop(), meter: meter.New(), leaving: make(chan struct{}), listen: net.Listen,
 	}
 	s.core = core.New(core.Settings{
-		Instance: "a", Log: store.New(1).Log("a"), ConfigLog: configLog, Now: time.Now, Uptime: func() time.Duration { return 0 }, Logger: zerolog.Nop(), Meter: s.meter,
+		Instance: "a", Log: store.New(1).Log("a"), ConfigLog: configLog, Directory: store.New(3).Log("a"), Now: time.Now, Uptime: func() time.Duration { return 0 }, Logger: zerolog.Nop(), Meter: s.meter,
 		DecodeConfig: func(ledger.Record) (*flow.Config, error) {
 			<-panicNow
 			panic("spoiled")
--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"encoding/json"
-	"maps"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
@@ -28,6 +26,7 @@
 	if b.CaughtUp && b.NextOffset >= c.completeOffset {
 		c.currentAt.Store(int64(c.settings.Uptime() - now.Sub(b.SentAt)))
 		c.ready.Store(true)
+		c.answering.Store(true)
 		c.election.caughtUpAt = now
 	}
 	if len(b.Records) > 0 {
@@ -70,8 +69,6 @@
 		err = c.applyProgress(name, r.Value)
 	case keyCancel:
 		c.applyCancel(now, name, r.Value)
-	case keyInstance:
-		err = c.applyInstance(name, r.Value)
 	case keyLeader:
 		err = c.applyClaim(now, r.Value)
 	case keyHeartbeat:
@@ -159,17 +156,3 @@
 		c.engine.Cancel(now, id)
 	}
 }
-
-func (c *Core) applyInstance(name string, value []byte) error {
-	var in instanceRecord
-	if err := json.Unmarshal(value, &in); err != nil {
-		return err
-	}
-	c.members[name] = in
-	peers := maps.Clone(c.members)
-	c.peers.Store(&peers)
-	if c.engine != nil {
-		c.setPlacementClients()
-	}
-	return nil
-}
--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -38,11 +38,15 @@
 // read.
 func (c *Core) Config() *flow.Config { return c.config.Load() }
 
-// Ready reports whether this instance can serve callers without a peer: it has
-// a configuration, complete state, a loop that makes progress, and a store that
-// accepts reads and appends.
+// Ready reports whether this instance can work for its peers: it has a
+// configuration, a loop that makes progress and a store that accepts reads and
+// appends, and if it is a replica its state is complete. A replica that is
+// ready can serve callers without a peer.
 func (c *Core) Ready() bool {
-	return c.config.Load() != nil && c.ready.Load() && !c.stalled() && c.storeHealthy()
+	if c.replica.Load() && !c.ready.Load() {
+		return false
+	}
+	return c.config.Load() != nil && !c.stalled() && c.storeHealthy()
 }
 
 // IsLeader reports whether this instance leads.
@@ -59,7 +63,7 @@
 		return errors.Wrap(err, "encode job")
 	}
 	err = c.store(ctx, ledger.Record{Key: keySpec + s.ID, Value: data})
-	if err == nil {
+	if err == nil && c.answering.Load() {
 		c.index.Add(s.ID, flow.Status{Queue: s.Queue})
 	}
 	c.settings.Logger.Info().Str("job", s.ID).Str("queue", s.Queue).AnErr("refusal", err).Msg("intake: submit")
@@ -134,6 +138,9 @@
 	if st, ok := c.index.Get(id); ok {
 		return st, nil
 	}
+	if !c.replica.Load() {
+		return flow.Status{}, ErrNotExecuted
+	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	if err := c.reader.Sync(ctx); err != nil || !c.ready.Load() {
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -50,6 +50,7 @@
 	Machine     Machine
 	Params      sched.Params
 	Log         ledger.Log // the ledger
+	Directory   ledger.Log // the log with the records of the instances
 	ConfigLog   ledger.Log // the log to which operators write configurations
 	// DecodeConfig decodes a record of ConfigLog. It returns nil for a record
 	// that holds no configuration.
@@ -71,14 +72,18 @@
 	settings     Settings
 	intake       *intake.Intake
 	reader       *ledger.Reader
+	directory    *ledger.Reader
 	configReader *ledger.Reader
 	index        *flow.Index
 	config       atomic.Pointer[flow.Config]
+	replica      atomic.Bool // the ledger is read, see package roles
+	answering    atomic.Bool // the ledger has been read to its end once
 	ready        atomic.Bool // the ledger has been read to its end since the last step-down
 	leading      atomic.Bool // engine is set, for use outside the loop
-	readable     atomic.Bool // reads of the ledger succeed
-	// lastAnswerAt is when a read of the ledger last succeeded, in Unix
-	// nanoseconds.
+	// readable is set while reads of the store succeed: those of the ledger or,
+	// at an instance that is not a replica, those of the configuration.
+	readable atomic.Bool
+	// lastAnswerAt is when such a read last succeeded, in Unix nanoseconds.
 	lastAnswerAt atomic.Int64
 	// currentAt is the uptime at which the newest read that reached the end of
 	// the ledger was sent, in nanoseconds. What it returned has been applied.
@@ -88,6 +93,8 @@
 	relayServer relayServer
 	peerProbes  sync.Map // by peer address: result of the last readiness probe
 	peers       atomic.Pointer[map[string]instanceRecord]
+	registering chan struct{} // signals register that the instance's record has changed
+	replicas    replicaCalls
 
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
@@ -96,6 +103,7 @@
 	// stop, which do not change.
 	jobs           map[string]*flow.Job      // by ID
 	members        map[string]instanceRecord // by instance name
+	role           roleState                 // whether this instance becomes a replica
 	earlyCancels   map[string]bool           // jobs cancelled before their spec has been read
 	completeOffset int64                     // ledger offset up to which to read before the state is complete
 	estimates      []byte                    // newest estimator record of a leader, encoded
@@ -119,8 +127,9 @@
 // New returns a Core, which does nothing until Run is called.
 func New(settings Settings) *Core {
 	c := &Core{
-		settings: settings, index: flow.NewIndex(), events: make(chan func(time.Time), 1024), done: make(chan struct{}),
+		settings: settings, index: flow.NewIndex(), events: make(chan func(time.Time), 1024), done: make(chan struct{}), registering: make(chan struct{}, 1),
 		jobs: map[string]*flow.Job{}, members: map[string]instanceRecord{}, earlyCancels: map[string]bool{}, completeOffset: -1, parts: parts.New(),
+		role: roleState{failedProbes: map[string]int{}},
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.election.lastContact = settings.Now()
@@ -134,6 +143,9 @@
 	c.reader = &ledger.Reader{Log: settings.Log, MaxReadWait: readWait, ReadInterval: c.readInterval, Now: settings.Now, Deliver: func(b ledger.Batch) {
 		c.post(func(now time.Time) { c.applyBatch(now, b) })
 	}}
+	c.directory = &ledger.Reader{Log: settings.Directory, MaxReadWait: directoryReadWait, ReadInterval: func() time.Duration { return directoryReadInterval }, Now: settings.Now, Deliver: func(b ledger.Batch) {
+		c.post(func(now time.Time) { c.applyDirectory(now, b) })
+	}}
 	c.configReader = &ledger.Reader{Log: settings.ConfigLog, MaxReadWait: configReadWait, ReadInterval: func() time.Duration { return configReadInterval }, Now: settings.Now, Deliver: c.applyConfig}
 	return c
 }
@@ -145,6 +157,10 @@
 	// read has returned without a record of the leader.
 	readWait       = 250 * time.Millisecond
 	configReadWait = time.Second
+	// directoryReadWait is long, since the directory changes only when an
+	// instance starts.
+	directoryReadWait     = 3 * time.Second
+	directoryReadInterval = 200 * time.Millisecond
 	// configReadInterval is the shortest time between two reads of the
 	// configuration log, to limit calls while it changes often.
 	configReadInterval = 200 * time.Millisecond
@@ -177,7 +193,7 @@
 	defer context.AfterFunc(ctx, c.stop)()
 	ctx = c.ctx
 	c.parts.Go(func() { c.intake.Run(ctx) })
-	c.parts.Go(func() { c.reader.Run(ctx) })
+	c.parts.Go(func() { c.directory.Run(ctx) })
 	c.parts.Go(func() { c.configReader.Run(ctx) })
 	c.parts.Go(func() { c.register(ctx) })
 	c.parts.Go(func() {
@@ -249,6 +265,12 @@
 // applyConfig puts the newest configuration of a batch of the configuration log
 // into force.
 func (c *Core) applyConfig(b ledger.Batch) {
+	if !c.replica.Load() {
+		c.readable.Store(b.Err == nil)
+		if b.Err == nil {
+			c.lastAnswerAt.Store(c.settings.Now().UnixNano())
+		}
+	}
 	if b.Err != nil {
 		return
 	}
@@ -272,27 +294,3 @@
 		})
 	}
 }
-
-// register stores the record by which peers find this instance, and retries
-// until it is stored.
-func (c *Core) register(ctx context.Context) {
-	r, err := encodeRecord(keyInstance+c.settings.Instance, instanceRecord{Addr: c.settings.Addr, Domain: c.settings.Domain, Incarnation: c.settings.Incarnation, Machine: c.settings.Machine})
-	if err != nil {
-		c.settings.Logger.Error().Err(err).Msg("core: instance record can't be encoded")
-		return
-	}
-	for ctx.Err() == nil {
-		if err = c.intake.Store(ctx, r); err == nil {
-			return
-		}
-		c.settings.Logger.Warn().Err(err).Msg("core: instance record not stored; retrying")
-		select {
-		case <-time.After(registerRetryPause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// registerRetryPause is the pause between two attempts to store the instance
-// record.
-const registerRetryPause = 300 * time.Millisecond
--- a/internal/coordination/core/core_test.go
+++ b/internal/coordination/core/core_test.go
@@ -46,6 +46,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{t: t, is: is.New(t), Site: sites.New(sites.Config{
 			Service: service, Workers: workers, Capacity: work.Size{CPU: 16000, Memory: 64000}, Logger: zerolog.Nop(),
+			Domain: domainOf,
 			Queues: []flow.Queue{{Name: "q", Prefix: "/q/", Policy: flow.Policy{Service: service, MaxAttempts: 3, Stretch: 2, SlackMs: 1000}}},
 		})}
 		for i := range instances {
@@ -60,6 +61,10 @@
 	return violations
 }
 
+// domainOf returns the failure domain of an instance: the first letter of its
+// name.
+func domainOf(instance string) string { return instance[:1] }
+
 // tasks returns a step of n tasks that take ms milliseconds each.
 func tasks(n int, ms int64) flow.Step {
 	return flow.Step{Count: n, Size: work.Size{CPU: 2000, Memory: 1000}, EstimateMs: ms}
--- /dev/null
+++ b/internal/coordination/core/directory.go
@@ -0,0 +1,221 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/state/roles"
+)
+
+// Timing of registrations and of the choice of replicas.
+const (
+	// registerRetryPause is the pause between two attempts to store the instance
+	// record.
+	registerRetryPause = 300 * time.Millisecond
+	// replicaProbeInterval is the time between two probes of replicas by an
+	// instance that is none.
+	replicaProbeInterval = time.Second
+	// failedProbeInterval is the same while any replica has failed its last call.
+	failedProbeInterval = 200 * time.Millisecond
+	// silentProbes is the number of failed probes in a row after which a replica
+	// counts as silent. A restart of its process takes about a second.
+	silentProbes = 3
+)
+
+// roleState is the state by which an instance decides whether it becomes a
+// replica.
+type roleState struct {
+	loaded       bool           // the directory has been read to its end
+	missingSince time.Time      // since when its failure domain lacks replicas, zero if it doesn't
+	resume       bool           // this instance's last incarnation was a replica
+	failedProbes map[string]int // failed probes in a row, by replica
+	probing      bool
+	nextProbeAt  time.Time
+	turn         int // selects the replica to probe
+}
+
+// applyDirectory applies what one read of the directory returned.
+func (c *Core) applyDirectory(now time.Time, b ledger.Batch) {
+	if b.Err != nil {
+		if !c.role.loaded {
+			c.settings.Logger.Warn().Err(b.Err).Msg("directory: can't be read")
+		}
+		return
+	}
+	for _, r := range b.Records {
+		prefix, name := splitKey(r.Key)
+		if prefix != keyInstance {
+			continue
+		}
+		var in instanceRecord
+		if err := json.Unmarshal(r.Value, &in); err != nil {
+			c.settings.Logger.Error().Err(err).Str("key", r.Key).Msg("directory: skipping a record that can't be decoded")
+			continue
+		}
+		if name == c.settings.Instance && in.Incarnation != c.settings.Incarnation && !c.role.loaded {
+			c.role.resume = in.Replica
+		}
+		if c.members[name].Incarnation != in.Incarnation {
+			delete(c.role.failedProbes, name)
+			c.replicas.forget(in.Addr)
+		}
+		c.members[name] = in
+	}
+	// A load is complete if nothing was appended while its pages were read.
+	c.role.loaded = c.role.loaded || b.CaughtUp || b.Reset && b.NextOffset >= b.CompleteOffset
+	if len(b.Records) == 0 {
+		return
+	}
+	peers := maps.Clone(c.members)
+	c.peers.Store(&peers)
+	if c.engine != nil {
+		c.setPlacementClients()
+	}
+}
+
+// stepRole makes this instance a replica once its failure domain lacks one and
+// this instance is the best candidate.
+func (c *Core) stepRole(now time.Time) {
+	r := &c.role
+	if c.replica.Load() || !r.loaded || c.election.leaving {
+		return
+	}
+	if _, registered := c.members[c.settings.Instance]; !registered {
+		return
+	}
+	c.stepReplicaProbes(now)
+	missing, rank := roles.Need(c.settings.Instance, c.knownInstances())
+	switch {
+	case missing == 0:
+		r.missingSince, r.resume = time.Time{}, false
+		return
+	case r.resume:
+		c.becomeReplica("its last process was one")
+		return
+	case r.missingSince.IsZero():
+		r.missingSince = now
+	}
+	if roles.Due(missing, rank, now.Sub(r.missingSince)) {
+		c.becomeReplica("its failure domain lacks one")
+	}
+}
+
+// knownInstances returns the registered instances, with this instance's view of
+// them.
+func (c *Core) knownInstances() []roles.Instance {
+	all := make([]roles.Instance, 0, len(c.members))
+	for name, m := range c.members {
+		all = append(all, roles.Instance{
+			Name: name, Domain: m.Domain, Cores: m.Cores, LinkMbps: m.LinkMbps, Replica: m.Replica,
+			Silent: c.role.failedProbes[name] >= silentProbes,
+		})
+	}
+	return all
+}
+
+// becomeReplica makes this instance read the ledger, and registers it as a
+// replica.
+func (c *Core) becomeReplica(why string) {
+	c.settings.Logger.Info().Str("why", why).Msg("core: becomes a replica")
+	c.replica.Store(true)
+	c.settings.Meter.Gauge("replica", 1)
+	c.parts.Go(func() { c.reader.Run(c.ctx) })
+	select {
+	case c.registering <- struct{}{}:
+	default:
+	}
+}
+
+// stepReplicaProbes probes replicas, one at a time, so that silent ones are
+// replaced and those that have recovered are called again.
+func (c *Core) stepReplicaProbes(now time.Time) {
+	r := &c.role
+	if r.probing || now.Before(r.nextProbeAt) {
+		return
+	}
+	r.turn++
+	name, recovering := c.nextReplicaProbe(r.turn)
+	r.nextProbeAt = now.Add(replicaProbeInterval)
+	if recovering {
+		r.nextProbeAt = now.Add(failedProbeInterval)
+	}
+	if name == "" {
+		return
+	}
+	addr := c.members[name].Addr
+	r.probing = true
+	c.parts.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		defer cancel()
+		ok := c.settings.Peers.Ready(ctx, addr)
+		c.replicas.note(addr, ok, c.settings.Now())
+		c.post(func(time.Time) {
+			r.probing = false
+			if ok {
+				delete(r.failedProbes, name)
+			} else {
+				r.failedProbes[name]++
+			}
+		})
+	})
+}
+
+// nextReplicaProbe returns the replica to probe in the given turn, or "" if
+// there is none, and whether any replica has failed its last call. Failed ones
+// get every second turn; the others are those of this failure domain, or of all
+// if it has none.
+func (c *Core) nextReplicaProbe(turn int) (name string, failed bool) {
+	var failing, answering, remote []string
+	for _, name := range c.replicaNames() {
+		switch m := c.members[name]; {
+		case c.replicas.failing(m.Addr):
+			failing = append(failing, name)
+		case m.Domain == c.settings.Domain:
+			answering = append(answering, name)
+		default:
+			remote = append(remote, name)
+		}
+	}
+	if len(answering) == 0 {
+		answering = remote
+	}
+	list := answering
+	if len(failing) > 0 && (turn%2 == 1 || len(answering) == 0) {
+		list = failing
+	}
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[turn/2%len(list)], len(failing) > 0
+}
+
+// register stores the record by which peers find this instance, at the start
+// and whenever it has changed. It retries until it is stored.
+func (c *Core) register(ctx context.Context) {
+	producer := ledger.Producer{Name: "directory/" + c.settings.Instance + "/" + c.settings.Incarnation, Epoch: 1}
+	w := ledger.NewWriter(c.settings.Directory, producer, 0, c.settings.Now)
+	for ctx.Err() == nil {
+		r, err := encodeRecord(keyInstance+c.settings.Instance, instanceRecord{
+			Addr: c.settings.Addr, Domain: c.settings.Domain, Incarnation: c.settings.Incarnation, Machine: c.settings.Machine, Replica: c.replica.Load(),
+		})
+		if err != nil {
+			c.settings.Logger.Error().Err(err).Msg("core: instance record can't be encoded")
+			return
+		}
+		if _, err = w.Append(ctx, []ledger.Record{r}); err == nil {
+			select {
+			case <-c.registering:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		c.settings.Logger.Warn().Err(err).Msg("core: instance record not stored; retrying")
+		select {
+		case <-time.After(registerRetryPause):
+		case <-ctx.Done():
+		}
+	}
+}
--- a/internal/coordination/core/machine.go
+++ b/internal/coordination/core/machine.go
@@ -26,12 +26,23 @@
 }
 
 // candidacyRank returns by how many times candidacyStep this instance delays
-// its candidacy. Instances on better-provisioned machines come first; within
-// a class, a hash that includes the term staggers them, differently in each
-// term.
+// its candidacy. Instances on better-provisioned machines come first; those on
+// equal machines stand one after another, in the order of a hash that includes
+// the term, without the leader that they replace.
 func (c *Core) candidacyRank() time.Duration {
-	step := hash32(c.settings.Incarnation, strconv.FormatInt(c.election.term, 10)) % candidacySteps
-	return time.Duration(candidacySteps*rankClass(len(c.dominatingPeers()), len(c.members))) + time.Duration(step)
+	term := strconv.FormatInt(c.election.term, 10)
+	own := hash32(c.settings.Incarnation, term)
+	replicas, before := 0, 0
+	for name, m := range c.members {
+		if !m.Replica {
+			continue
+		}
+		replicas++
+		if name != c.settings.Instance && name != c.election.leader.Instance && m.Machine == c.settings.Machine && hash32(m.Incarnation, term) < own {
+			before++
+		}
+	}
+	return time.Duration(candidacySteps*rankClass(len(c.dominatingPeers()), replicas) + min(before, candidacySteps-1))
 }
 
 // rankClass returns the class of an instance whose machine is dominated by
@@ -44,12 +55,12 @@
 	return 1 + 3*dominating/(all+1)
 }
 
-// dominatingPeers returns the sorted names of the instances whose machine
+// dominatingPeers returns the sorted names of the replicas whose machine
 // dominates this one's.
 func (c *Core) dominatingPeers() []string {
 	var names []string
 	for name, m := range c.members {
-		if m.dominates(c.settings.Machine) {
+		if m.Replica && m.dominates(c.settings.Machine) {
 			names = append(names, name)
 		}
 	}
--- a/internal/coordination/core/panic_test.go
+++ b/internal/coordination/core/panic_test.go
@@ -25,15 +25,25 @@
 	tests := []struct {
 		name  string
 		spoil func(s *core.Settings)
+		use   func(ctx context.Context, c *core.Core) // called once the instance runs, if set
 	}{
-		{"loop", func(s *core.Settings) { s.Uptime = func() time.Duration { panic("spoiled") } }},
-		{"configuration reader", func(s *core.Settings) {
+		{name: "loop", spoil: func(s *core.Settings) { s.Uptime = func() time.Duration { panic("spoiled") } }},
+		{name: "directory reader", spoil: func(s *core.Settings) {
+			s.Directory.ReadNewest = func(context.Context, string) (ledger.NewestPage, error) { panic("spoiled") }
+		}},
+		{name: "registration", spoil: func(s *core.Settings) {
+			s.Directory.Append = func(context.Context, ledger.Producer, int64, []ledger.Record) (int64, error) { panic("spoiled") }
+		}},
+		{name: "ledger reader", spoil: func(s *core.Settings) {
+			s.Log.ReadNewest = func(context.Context, string) (ledger.NewestPage, error) { panic("spoiled") }
+		}},
+		{name: "configuration reader", spoil: func(s *core.Settings) {
 			s.DecodeConfig = func(ledger.Record) (*flow.Config, error) { panic("spoiled") }
 		}},
-		{"intake", func(s *core.Settings) {
+		{name: "intake", spoil: func(s *core.Settings) {
 			s.Log.Append = func(context.Context, ledger.Producer, int64, []ledger.Record) (int64, error) { panic("spoiled") }
-		}},
-		{"call of the leader", func(s *core.Settings) {
+		}, use: func(ctx context.Context, c *core.Core) { _ = c.Submit(ctx, &flow.Spec{ID: "a", Queue: "q"}) }},
+		{name: "call of the leader", spoil: func(s *core.Settings) {
 			s.Workers.List = func(context.Context) ([]sched.WorkerInfo, error) { panic("spoiled") }
 		}},
 	}
@@ -47,7 +57,7 @@
 				settings := core.Settings{
 					Instance: "e0", Incarnation: "life-1", Domain: "d", Addr: "e0",
 					Params: sched.Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute},
-					Log:    store.New(1).Log("e0"), ConfigLog: configLog,
+					Log:    store.New(1).Log("e0"), ConfigLog: configLog, Directory: store.New(3).Log("e0"),
 					DecodeConfig: func(ledger.Record) (*flow.Config, error) { return &flow.Config{Version: 1}, nil },
 					Workers:      core.WorkerCalls{List: func(context.Context) ([]sched.WorkerInfo, error) { return nil, nil }},
 					Now:          time.Now, Uptime: func() time.Duration { return 0 }, Logger: zerolog.Nop(), Meter: meter.New(),
@@ -56,10 +66,14 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				ended := make(chan any, 1)
+				c := core.New(settings)
 				go func() {
 					defer func() { ended <- recover() }()
-					core.New(settings).Run(ctx)
+					c.Run(ctx)
 				}()
+				if tt.use != nil {
+					go tt.use(ctx, c)
+				}
 				select {
 				case v := <-ended:
 					if !strings.Contains(fmt.Sprint(v), "spoiled") {
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -16,6 +16,8 @@
 	Submit func(ctx context.Context, addr string, s *flow.Spec) error
 	Cancel func(ctx context.Context, addr, id string) error
 	Status func(ctx context.Context, addr, id string) (flow.Status, error)
+	// Pending returns the number of pending jobs of a queue.
+	Pending func(ctx context.Context, addr, queue string) (int, error)
 	// Ready reports whether the instance answers and can serve callers now.
 	Ready func(ctx context.Context, addr string) bool
 }
@@ -33,8 +35,11 @@
 )
 
 // SubmitOrForward submits a job from this instance or, if this instance can't
-// store it, through a peer. The errors are those of Submit.
+// store it or has no state, through a peer. The errors are those of Submit.
 func (c *Core) SubmitOrForward(ctx context.Context, s *flow.Spec) error {
+	if !c.answering.Load() {
+		return c.submitThroughReplica(ctx, s)
+	}
 	err := ErrNotExecuted
 	if c.storeHealthy() {
 		err = c.Submit(ctx, s)
@@ -56,6 +61,9 @@
 // CancelOrForward cancels a job from this instance or through a peer, as
 // SubmitOrForward submits one. The errors are those of Cancel.
 func (c *Core) CancelOrForward(ctx context.Context, id string) error {
+	if !c.answering.Load() {
+		return c.callReplica(ctx, "cancel", id, func(ctx context.Context, addr string) error { return c.settings.Peers.Cancel(ctx, addr, id) })
+	}
 	err := ErrNotExecuted
 	if c.storeHealthy() {
 		err = c.Cancel(ctx, id)
@@ -74,6 +82,9 @@
 // peer even if it has a status of the job, since that may be stale. The errors
 // are those of Status, or ErrOutcomeUnknown.
 func (c *Core) StatusOrForward(ctx context.Context, id string) (flow.Status, error) {
+	if !c.answering.Load() {
+		return c.statusThroughReplica(ctx, id)
+	}
 	st, err := c.Status(ctx, id)
 	if err == nil && !st.State.Final() && c.behind(c.settings.Uptime()) {
 		return c.statusFromPeers(ctx, id, st), nil
@@ -109,10 +120,15 @@
 	switch {
 	case c.config.Load() == nil:
 		return "no configuration yet"
-	case !c.ready.Load():
-		return "the ledger has not been read to its end"
 	case c.stalled():
 		return "the loop makes no progress"
+	case !c.answering.Load():
+		if c.replicas.answeredSince(c.settings.Now().Add(-maxReplicaSilence)) {
+			return ""
+		}
+		return "no replica has answered lately"
+	case !c.ready.Load():
+		return "the ledger has not been read to its end"
 	case c.Ready():
 		return ""
 	}
@@ -171,7 +187,7 @@
 	return ready
 }
 
-// forwardTargets returns the addresses of up to maxForwards peers. Peers that
+// forwardTargets returns the addresses of up to maxForwards replicas. Those that
 // were not ready at their last probe come last, so that others are tried in turn
 // until one is ready. Peers of other failure domains come first, since the fault
 // that cut this instance off may affect its whole domain.
@@ -182,7 +198,7 @@
 	}
 	var list []instanceRecord
 	for name, p := range *peers {
-		if name != c.settings.Instance && p.Addr != c.settings.Addr {
+		if name != c.settings.Instance && p.Addr != c.settings.Addr && p.Replica {
 			list = append(list, p)
 		}
 	}
--- a/internal/coordination/core/peers_test.go
+++ b/internal/coordination/core/peers_test.go
@@ -29,7 +29,7 @@
 			peers := map[string]instanceRecord{}
 			for i := range 2 * peersPerDomain {
 				name := fmt.Sprint("p", i)
-				peers[name] = instanceRecord{Addr: name, Incarnation: name, Domain: fmt.Sprint("d", i/peersPerDomain)}
+				peers[name] = instanceRecord{Addr: name, Incarnation: name, Domain: fmt.Sprint("d", i/peersPerDomain), Replica: true}
 			}
 			c.peers.Store(&peers)
 			err := ErrNotExecuted
--- a/internal/coordination/core/progress_test.go
+++ b/internal/coordination/core/progress_test.go
@@ -29,7 +29,7 @@
 		c := New(Settings{
 			Instance: "e0", Incarnation: "life-1", Domain: "d", Addr: "e0",
 			Params: sched.Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute},
-			Log:    store.New(1).Log("e0"), ConfigLog: configLog,
+			Log:    store.New(1).Log("e0"), ConfigLog: configLog, Directory: store.New(3).Log("e0"),
 			DecodeConfig: func(ledger.Record) (*flow.Config, error) { return &flow.Config{Version: 1}, nil },
 			Workers:      WorkerCalls{List: func(context.Context) ([]sched.WorkerInfo, error) { return nil, nil }},
 			Now:          time.Now, Logger: zerolog.Nop(), Meter: meter.New(),
--- a/internal/coordination/core/records.go
+++ b/internal/coordination/core/records.go
@@ -8,7 +8,8 @@
 )
 
 // Keys of the ledger's records. Those that end in a slash are prefixes,
-// followed by a job ID or, for keyInstance, an instance name.
+// followed by a job ID. In the directory, keyInstance is followed by an instance
+// name.
 const (
 	keySpec      = "j/"
 	keyProgress  = "p/"
@@ -30,11 +31,12 @@
 	Resigned    bool   `json:"resigned,omitempty"`
 }
 
-// instanceRecord is the record by which peers find an instance.
+// instanceRecord is the record of the directory by which peers find an instance.
 type instanceRecord struct {
 	Addr        string `json:"addr"`
 	Domain      string `json:"domain"`
 	Incarnation string `json:"life"`
+	Replica     bool   `json:"replica,omitempty"` // it holds the state of all jobs, or loads it
 	Machine
 }
 
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -70,6 +70,13 @@
 	return toOutcome(st, err), nil
 }
 
+// Pending returns the number of pending jobs of a queue for a peer. The
+// outcome's code is that of core.Core.PendingJobs. The error is always nil.
+func (s *Server) Pending(_ context.Context, req *cellpb.PendingRequest) (*cellpb.PendingReply, error) {
+	n, err := s.Core.PendingJobs(req.Queue)
+	return &cellpb.PendingReply{Code: toOutcome(flow.Status{}, err).Code, Jobs: int64(n)}, nil
+}
+
 // Ready returns whether this instance can store calls now. The error is always
 // nil.
 func (s *Server) Ready(context.Context, *cellpb.ReadyRequest) (*cellpb.ReadyReply, error) {
@@ -155,6 +162,14 @@
 	return st, errs.At("ask for a job's state", addr, err)
 }
 
+// Pending returns the number of pending jobs of a queue as the instance at addr
+// reports it. The errors are those of package core, wrapped.
+func (c *Client) Pending(ctx context.Context, addr, queue string) (int, error) {
+	reply, err := c.client(addr).Pending(ctx, &cellpb.PendingRequest{Queue: queue})
+	_, err = fromOutcome(&cellpb.Outcome{Code: reply.GetCode()}, err)
+	return int(reply.GetJobs()), errs.At("ask for a queue's pending jobs", addr, err)
+}
+
 // Ready reports whether the instance at addr answers that it can store calls.
 func (c *Client) Ready(ctx context.Context, addr string) bool {
 	reply, err := c.client(addr).Ready(ctx, &cellpb.ReadyRequest{})
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -39,6 +39,8 @@
 	Capacity work.Size // of each worker
 	Queues   []flow.Queue
 	Logger   zerolog.Logger
+	// Domain returns the failure domain of an instance. If nil, all are in one.
+	Domain func(name string) string
 }
 
 // Site is a set of instances that share one store and one fleet of workers.
@@ -47,7 +49,9 @@
 	Fleet *fleet.Fleet
 	// configLog holds the operators' records, which name configuration versions.
 	configLog *store.Store
+	directory *store.Store
 	log       zerolog.Logger
+	domain    func(name string) string
 
 	mu           sync.Mutex // guards the fields below
 	newestConfig *flow.Config
@@ -72,7 +76,11 @@
 func New(cfg Config) *Site {
 	s := &Site{
 		Store: store.New(1), log: cfg.Logger, instances: map[string]*instance{}, specs: map[string]*flow.Spec{}, unresponsive: map[string]bool{}, machines: map[string]core.Machine{},
-		configLog: store.New(2), configs: map[int64]*flow.Config{},
+		configLog: store.New(2), directory: store.New(3), configs: map[int64]*flow.Config{},
+	}
+	s.domain = cfg.Domain
+	if s.domain == nil {
+		s.domain = func(string) string { return "d" }
 	}
 	s.Configure(&flow.Config{Version: 1, Queues: cfg.Queues})
 	s.Fleet = fleet.New(cfg.Workers, cfg.Capacity, cfg.Service, MaxLease, s.taskSpec)
@@ -102,9 +110,9 @@
 	incarnation, machine := fmt.Sprintf("life-%d", s.incarnations), s.machines[name]
 	s.mu.Unlock()
 	c := core.New(core.Settings{
-		Instance: name, Incarnation: incarnation, Domain: "d", Addr: name, Machine: machine,
+		Instance: name, Incarnation: incarnation, Domain: s.domain(name), Addr: name, Machine: machine,
 		Params: sched.Params{MaxLease: MaxLease, LeaderLease: 4 * time.Second, Retention: 120 * time.Second},
-		Log:    s.Store.Log(name), ConfigLog: s.configLog.Log(name),
+		Log:    s.Store.Log(name), ConfigLog: s.configLog.Log(name), Directory: s.directory.Log(name),
 		DecodeConfig: s.decodeConfig,
 		Workers:      s.Fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(startedAt) },
 		Logger: s.log.With().Str("instance", name).Logger(), Meter: meter.New(), Peers: s.peerCalls(), Relay: s.relayCalls(),
@@ -212,6 +220,12 @@
 			}
 			return flow.Status{}, core.ErrNotExecuted
 		},
+		Pending: func(_ context.Context, addr, queue string) (int, error) {
+			if c := s.reachableCore(addr); c != nil {
+				return c.PendingJobs(queue)
+			}
+			return 0, core.ErrNotExecuted
+		},
 		Ready: func(_ context.Context, addr string) bool {
 			c := s.reachableCore(addr)
 			return c != nil && c.Ready()
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -50,6 +50,8 @@
 	retention     int64                // number of records retained, 0 for all
 	answersToLose int                  // number of appends to come whose answers are lost
 	appends       int                  // number of appends carried out
+	appendedBytes int                  // bytes of the records of these appends
+	readBytes     int                  // bytes of the records that reads and pages of snapshots have returned
 	bandwidths    map[string]int       // bytes of records per second that a client can read, by client; 0 for no limit
 }
 
@@ -123,6 +125,29 @@
 	return s.appends
 }
 
+// BytesAppended returns the size of all records appended.
+func (s *Store) BytesAppended() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appendedBytes
+}
+
+// BytesRead returns the size of all records that calls have returned.
+func (s *Store) BytesRead() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readBytes
+}
+
+// size returns the size of records in bytes.
+func size(records []ledger.Record) int {
+	n := 0
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
 // ExpireRecords expires all records of the log except the newest one of each
 // key.
 func (s *Store) ExpireRecords() {
@@ -272,6 +297,7 @@
 		s.newestOffset[r.Key] = int64(len(s.records) - 1)
 	}
 	s.appends++
+	s.appendedBytes += size(records)
 	end := int64(len(s.records))
 	if s.retention > 0 {
 		s.first = max(s.first, end-s.retention)
@@ -302,17 +328,18 @@
 			return ledger.Page{}, &ledger.ExpiredError{OldestOffset: first}
 		}
 		if end > from {
-			page, size := ledger.Page{FirstOffset: from, LogEnd: end}, 0
+			page, n := ledger.Page{FirstOffset: from, LogEnd: end}, 0
 			for _, r := range s.records[from:end] {
-				if size += len(r.Key) + len(r.Value); size > maxBytes && len(page.Records) > 0 {
+				if n += len(r.Key) + len(r.Value); n > maxBytes && len(page.Records) > 0 {
 					break
 				}
 				page.Records = append(page.Records, r)
 			}
+			s.readBytes += size(page.Records)
 			bandwidth := s.bandwidths[client]
 			s.mu.Unlock()
 			if bandwidth > 0 {
-				if err := sleep(ctx, time.Duration(size)*time.Second/time.Duration(bandwidth)); err != nil {
+				if err := sleep(ctx, time.Duration(n)*time.Second/time.Duration(bandwidth)); err != nil {
 					return ledger.Page{}, err
 				}
 			}
@@ -357,5 +384,6 @@
 		out.Records = append(out.Records, s.records[s.newestOffset[k]])
 		out.LastKey = k
 	}
+	s.readBytes += size(out.Records)
 	return out, nil
 }
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -131,13 +131,13 @@
 	s.showJob(w, r, p)
 }
 
-func (s *Server) showQueue(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
+func (s *Server) showQueue(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	name := p.ByName("name")
 	if cfg := s.Core.Config(); cfg == nil || cfg.Queue(name) == nil {
 		writeJSON(w, http.StatusNotFound, errorReply{Code: codeQueueNotFound, Errors: []string{"queue " + strconv.Quote(name) + " is not in the configuration"}})
 		return
 	}
-	pending, err := s.Core.PendingJobs(name)
+	pending, err := s.Core.PendingJobsOrForward(r.Context(), name)
 	if err != nil {
 		s.writeError(w, err)
 		return
