state/roles, coordination/core: few relays, whose orders share calls

Cause: a leader with more than 100 workers used every other instance as a relay and passed orders on as they came up: 146 relays, so nearly each order and each answer was an HTTP call of its own, some 5,000 a second, which took the leader's processor (0.8 cores). Passes fell from 105 to 15 a second, and confirmations rose from 40 to 480 ms.

Now a leader uses the best-provisioned instances, as few as carry the calls to all workers with an eighth of their processors and at least six; each gets its share of workers by processor. Orders to a relay wait while a call to it is under way, and 8 ms after the last one began; orders that count as unanswered by then are not sent. Answers are gathered for 8 ms, not 4.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -259,6 +259,9 @@
 	if c.decisionDue && c.nextDecideAt.Before(at) {
 		at = c.nextDecideAt
 	}
+	if next := c.relay.nextSendAt; !next.IsZero() && next.Before(at) {
+		at = next
+	}
 	return max(time.Millisecond, min(loopInterval, at.Sub(now)))
 }
 
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -243,7 +243,6 @@
 	}
 	term, mayRenew := c.election.term, c.mayRenewLeases()
 	mayStart := mayRenew && c.current(c.settings.Uptime())
-	batches := map[string][]NumberedOrder{}
 	for _, o := range out.Orders {
 		if o.Kind == sched.OrderStart && !mayStart {
 			c.engine.HandleStartAnswer(now, o, sched.AnswerRefused, 0)
@@ -253,12 +252,12 @@
 			o.LeaseExpiry = 0
 		}
 		if name := c.relayFor(now, o.Worker); name != "" {
-			batches[name] = append(batches[name], c.trackOrder(now, name, o))
+			c.queueOrder(now, name, o)
 			continue
 		}
 		c.parts.Go(func() { c.sendOrder(o, term) })
 	}
-	c.sendToRelays(now, batches)
+	c.sendToRelays(now)
 	for _, q := range out.Queries {
 		c.parts.Go(func() { c.sendPlacementQuery(q, term) })
 	}
--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sort"
 	"strconv"
 	"time"
 
+	"github.com/tamaracklink/tamaracklink/internal/state/roles"
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
 )
 
@@ -35,6 +35,10 @@
 	answerSlack = 300 * time.Millisecond
 	// relayExclusion is how long a relay that did not answer is excluded.
 	relayExclusion = 3 * time.Second
+	// relaySendInterval is the shortest time between two calls that pass orders
+	// to a relay. Orders in between share a call, which costs the leader as much
+	// as some ten orders.
+	relaySendInterval = 8 * time.Millisecond
 	// sweepInterval is the time between two checks for orders past their
 	// deadline, and between two updates of the available relays.
 	sweepInterval = 50 * time.Millisecond
@@ -49,8 +53,9 @@
 	pending     map[uint64]pendingOrder
 	nextSweepAt time.Time
 	relays      map[string]*relayInstance // by instance name
-	available   []string                  // names of the relays that are not excluded, sorted
+	available   []roles.Instance          // the relays in use
 	availableAt time.Time
+	nextSendAt  time.Time               // when waiting orders may be sent, zero if none wait
 	avoid       map[string]avoidedRelay // by worker
 }
 
@@ -74,6 +79,9 @@
 	addr          string
 	fetching      bool // its answers are being fetched
 	excludedUntil time.Time
+	waiting       []NumberedOrder // orders to send
+	sending       bool            // a call that passes orders is under way
+	sentAt        time.Time       // when the last one began
 }
 
 func (c *Core) newRelayState() relayState {
@@ -91,55 +99,83 @@
 	}
 	if now.Sub(r.availableAt) > sweepInterval {
 		r.availableAt = now
-		r.available = r.available[:0]
-		for name, m := range c.members {
-			relay := r.relays[name]
-			if relay == nil {
-				relay = &relayInstance{}
-				r.relays[name] = relay
-			}
-			relay.addr = m.Addr
-			if name != c.settings.Instance && !now.Before(relay.excludedUntil) {
-				r.available = append(r.available, name)
-			}
-		}
-		sort.Strings(r.available)
+		r.available = c.chooseRelays(now)
 	}
 	avoided := r.avoid[worker]
-	best, bestHash, salt := "", uint32(0), strconv.Itoa(avoided.failures)
-	for _, name := range r.available {
-		if name == avoided.last && len(r.available) > 1 {
+	return roles.RelayFor(worker, strconv.Itoa(avoided.failures), avoided.last, r.available)
+}
+
+// chooseRelays returns the relays to use from now on.
+func (c *Core) chooseRelays(now time.Time) []roles.Instance {
+	var candidates []roles.Instance
+	for name, m := range c.members {
+		relay := c.relay.relays[name]
+		if relay == nil {
+			relay = &relayInstance{}
+			c.relay.relays[name] = relay
+		}
+		relay.addr = m.Addr
+		if name != c.settings.Instance && !now.Before(relay.excludedUntil) {
+			candidates = append(candidates, roles.Instance{Name: name, Domain: m.Domain, Cores: m.Cores, LinkMbps: m.LinkMbps})
+		}
+	}
+	return roles.Relays(candidates, c.engine.Workers())
+}
+
+// sendToRelays sends the waiting orders of each relay, unless a call to it is
+// under way or began less than relaySendInterval ago.
+func (c *Core) sendToRelays(now time.Time) {
+	c.relay.nextSendAt = time.Time{}
+	for name, relay := range c.relay.relays {
+		if len(relay.waiting) == 0 || relay.sending {
 			continue
 		}
-		if h := hash32(name, worker, salt); best == "" || h > bestHash {
-			best, bestHash = name, h
+		if at := relay.sentAt.Add(relaySendInterval); now.Before(at) {
+			if next := &c.relay.nextSendAt; next.IsZero() || at.Before(*next) {
+				*next = at
+			}
+			continue
 		}
+		c.sendToRelay(now, name, relay)
 	}
-	return best
 }
 
-// sendToRelays sends batches of orders, by relay.
-func (c *Core) sendToRelays(now time.Time, batches map[string][]NumberedOrder) {
-	term, leader := c.election.term, c.settings.Incarnation
-	for name, batch := range batches {
-		relay := c.relay.relays[name]
-		if !relay.fetching {
-			relay.fetching = true
-			c.parts.Go(func() { c.fetchRelayAnswers(name, relay.addr, leader, term) })
+// sendToRelay sends a relay its waiting orders, except those that count as
+// unanswered meanwhile.
+func (c *Core) sendToRelay(now time.Time, name string, relay *relayInstance) {
+	batch := relay.waiting[:0]
+	for _, o := range relay.waiting {
+		if _, ok := c.relay.pending[o.ID]; ok {
+			batch = append(batch, o)
 		}
-		ctx := c.relay.ctx
-		c.parts.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-			defer cancel()
-			if err := c.settings.Relay.SendOrders(ctx, relay.addr, leader, term, batch); err != nil {
-				c.post(func(now time.Time) { c.ifLeading(term, func() { c.excludeRelay(now, name, err) }) })
+	}
+	relay.waiting = nil
+	if len(batch) == 0 {
+		return
+	}
+	term, leader, addr := c.election.term, c.settings.Incarnation, relay.addr
+	if !relay.fetching {
+		relay.fetching = true
+		c.parts.Go(func() { c.fetchRelayAnswers(name, addr, leader, term) })
+	}
+	relay.sending, relay.sentAt = true, now
+	ctx := c.relay.ctx
+	c.parts.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+		defer cancel()
+		err := c.settings.Relay.SendOrders(ctx, addr, leader, term, batch)
+		c.post(func(now time.Time) {
+			relay.sending = false
+			if err != nil {
+				c.ifLeading(term, func() { c.excludeRelay(now, name, err) })
 			}
 		})
-	}
+	})
 }
 
-// trackOrder numbers an order for a relay and records it as pending.
-func (c *Core) trackOrder(now time.Time, name string, o sched.Order) NumberedOrder {
+// queueOrder numbers an order for a relay and records it as pending. It is sent
+// by sendToRelays.
+func (c *Core) queueOrder(now time.Time, name string, o sched.Order) {
 	r := &c.relay
 	r.nextID++
 	wait := startTimeout
@@ -147,19 +183,30 @@
 		wait = o.Wait + pollSlack
 	}
 	r.pending[r.nextID] = pendingOrder{order: o, relay: name, sentAt: now, deadline: now.Add(wait + answerSlack)}
-	return NumberedOrder{ID: r.nextID, Order: o}
+	relay := r.relays[name]
+	relay.waiting = append(relay.waiting, NumberedOrder{ID: r.nextID, Order: o})
 }
 
-// excludeRelay excludes a relay that did not answer for relayExclusion. Its
-// pending orders count as unanswered.
+// excludeRelay excludes a relay that did not answer for relayExclusion, unless
+// so many are excluded that the fault is this instance's. Its pending orders
+// count as unanswered.
 func (c *Core) excludeRelay(now time.Time, name string, err error) {
 	relay := c.relay.relays[name]
 	if relay == nil || now.Before(relay.excludedUntil) {
 		return
 	}
-	c.settings.Logger.Warn().Err(err).Str("helper", name).Msg("leader: relay does not answer; excluded")
-	relay.excludedUntil = now.Add(relayExclusion)
-	c.relay.availableAt = time.Time{}
+	excluded := 0
+	for _, r := range c.relay.relays {
+		if now.Before(r.excludedUntil) {
+			excluded++
+		}
+	}
+	exclude := roles.MayExclude(excluded, excluded+len(c.relay.available))
+	c.settings.Logger.Warn().Err(err).Str("helper", name).Bool("excluded", exclude).Msg("leader: relay does not answer")
+	if exclude {
+		relay.excludedUntil = now.Add(relayExclusion)
+		c.relay.availableAt = time.Time{}
+	}
 	for id, p := range c.relay.pending {
 		if p.relay == name {
 			delete(c.relay.pending, id)
--- a/internal/coordination/core/relay_server.go
+++ b/internal/coordination/core/relay_server.go
@@ -27,7 +27,7 @@
 const (
 	// answerBatchDelay is how long AwaitAnswers waits after the first answer,
 	// so that one reply carries several.
-	answerBatchDelay   = 4 * time.Millisecond
+	answerBatchDelay   = 8 * time.Millisecond
 	maxAnswersPerReply = 500
 	// sessionTTL is how long a leader's session is kept without a call from it.
 	sessionTTL = 10 * time.Second
