command/oper, core: collect garbage less often while leading

Cause: the garbage collector runs at 50 percent, since memory is priced on every instance. The leader allocates for some thousand calls a second, so with a small heap the collector ran several times a second and took much of its processor.

Ruled out: the decisions.

Now the instance that leads collects at 300 percent. Eleven relays (a fifth of their processors, not an eighth) share the workers.

--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -38,6 +38,10 @@
 	// gcPercent makes the garbage collector run more often than by default. That
 	// costs processor time and lowers the memory peak, by which memory is priced.
 	gcPercent = 50
+	// leaderGCPercent applies while the instance leads. A leader allocates so much
+	// that with gcPercent the collector would take a large part of its processor,
+	// and only one instance leads.
+	leaderGCPercent = 300
 	// memoryLimitShare is the soft memory limit of the Go runtime as a share of
 	// the machine's memory.
 	memoryLimitShare = 0.5
@@ -76,7 +80,7 @@
 	if err != nil {
 		return usageError(err)
 	}
-	debug.SetGCPercent(gcPercent)
+	setGCPercent(false)
 	if settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryLimitShare))
 	}
@@ -134,11 +138,19 @@
 		Placement: core.PlacementCalls{Local: placement.RequestTickets, ViaPeer: peers.RequestTickets},
 		Peers:     core.PeerCalls{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Pending: peers.Pending, Ready: peers.Ready},
 		Relay:     core.RelayCalls{SendOrders: peers.SendOrders, FetchAnswers: peers.FetchAnswers},
-		Now:       time.Now, Uptime: s.uptime, Logger: logger, Meter: s.meter,
+		Now:       time.Now, Uptime: s.uptime, Logger: logger, Meter: s.meter, OnLeading: setGCPercent,
 	})
 	return s, nil
 }
 
+func setGCPercent(leads bool) {
+	if leads {
+		debug.SetGCPercent(leaderGCPercent)
+		return
+	}
+	debug.SetGCPercent(gcPercent)
+}
+
 // uptime returns the time since boot from a clock that also counts time in which
 // the machine is suspended.
 func uptime() (time.Duration, error) {
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -41,7 +41,7 @@
 	ViaPeer func(ctx context.Context, addr, step string, workers []string, quick bool) (PlacementReply, error)
 }
 
-// Settings configures a Core. All fields must be set.
+// Settings configures a Core. All fields but OnLeading must be set.
 type Settings struct {
 	Instance    string // name, unique among the instances
 	Incarnation string // incarnation, unique to this process
@@ -63,8 +63,19 @@
 	// Uptime returns the time of a clock that also counts while the machine is
 	// suspended.
 	Uptime func() time.Duration
-	Logger zerolog.Logger
-	Meter  *meter.Set
+	// OnLeading is called when this instance begins and ceases to lead. It may be
+	// nil.
+	OnLeading func(leads bool)
+	Logger    zerolog.Logger
+	Meter     *meter.Set
+}
+
+// setLeading records whether this instance leads, for use outside the loop.
+func (c *Core) setLeading(leads bool) {
+	c.leading.Store(leads)
+	if c.settings.OnLeading != nil {
+		c.settings.OnLeading(leads)
+	}
 }
 
 // Core is one instance of the system.
--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -240,7 +240,7 @@
 	for _, id := range c.jobIDs() {
 		c.engine.AddJob(now, c.jobs[id])
 	}
-	c.leading.Store(true)
+	c.setLeading(true)
 	c.settings.Meter.Count("leader_terms", "instance", c.settings.Instance, 1)
 	c.decisionDue = true
 }
@@ -271,7 +271,7 @@
 func (c *Core) stepDown(now time.Time, why string) {
 	c.settings.Logger.Warn().Int64("term", c.election.term).Str("why", why).Msg("leader: steps down")
 	c.engine = nil
-	c.leading.Store(false)
+	c.setLeading(false)
 	if c.appending.cancel != nil {
 		c.appending.cancel()
 	}
--- a/internal/state/roles/relays.go
+++ b/internal/state/roles/relays.go
@@ -14,7 +14,7 @@
 	coresPerWorker = 0.0015
 	// relayShare is the share of its processor that an instance should need as a
 	// relay. The rest is for its callers, and for bursts.
-	relayShare = 0.125
+	relayShare = 0.2
 	// minRelays is the number of relays below which the loss of one would leave
 	// too large a part of the workers without orders for a moment.
 	minRelays = 6
