coordination/core: orders are not sent after a pause of the process

Fault: a relay, or the leader itself, that is paused with orders at hand sends them when it wakes up. The leader has counted them as unanswered by then; the job may have been cancelled. The worker's fence refuses such an order only if another leader has spoken to it since.

Now an order is dropped if more than its time-out has passed, by the clock that also counts suspension, since this instance got it. What stays: an order whose call has begun, and one that waits unread in the socket of a paused relay; there the leader's stop, which it sends for each start without an answer, closes the run at the worker.

Conclusion: fixed for the time between receipt and call.

--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -242,7 +242,8 @@
 		return
 	}
 	term, mayRenew := c.election.term, c.mayRenewLeases()
-	mayStart := mayRenew && c.current(c.settings.Uptime())
+	issuedAt := c.settings.Uptime()
+	mayStart := mayRenew && c.current(issuedAt)
 	for _, o := range out.Orders {
 		if o.Kind == sched.OrderStart && !mayStart {
 			c.engine.HandleStartAnswer(now, o, sched.AnswerRefused, 0)
@@ -255,7 +256,7 @@
 			c.queueOrder(now, name, o)
 			continue
 		}
-		c.parts.Go(func() { c.sendOrder(o, term) })
+		c.parts.Go(func() { c.sendOrder(o, term, issuedAt) })
 	}
 	c.sendToRelays(now)
 	for _, q := range out.Queries {
@@ -291,9 +292,9 @@
 }
 
 // sendOrder sends an order from this instance, without a relay.
-func (c *Core) sendOrder(o sched.Order, term int64) {
+func (c *Core) sendOrder(o sched.Order, term int64, issuedAt time.Duration) {
 	began := c.settings.Now()
-	a := c.callOrder(o, term)
+	a := c.callOrder(o, term, issuedAt)
 	c.post(func(now time.Time) {
 		c.ifLeading(term, func() { c.applyAnswer(now, pendingOrder{order: o, sentAt: began}, a) })
 	})
--- a/internal/coordination/core/relay_server.go
+++ b/internal/coordination/core/relay_server.go
@@ -98,10 +98,10 @@
 // waiting for them. leader is the incarnation of the leader, by which
 // AwaitAnswers returns the results.
 func (c *Core) RelayOrders(leader string, term int64, orders []NumberedOrder) {
-	s := c.relayServer.session(leader, c.settings.Now())
+	s, issuedAt := c.relayServer.session(leader, c.settings.Now()), c.settings.Uptime()
 	for _, o := range orders {
 		c.parts.Go(func() {
-			a := c.callOrder(o.Order, term)
+			a := c.callOrder(o.Order, term, issuedAt)
 			a.ID = o.ID
 			c.relayServer.add(s, a)
 		})
@@ -132,8 +132,12 @@
 	}
 }
 
-// callOrder sends an order to its worker and waits for the answer.
-func (c *Core) callOrder(o sched.Order, term int64) (a NumberedAnswer) {
+// callOrder sends an order to its worker and waits for the answer. issuedAt is
+// the uptime at which this instance got or made the order. After its time-out,
+// if the process or its machine has been paused meanwhile, the order is not
+// sent: it counts as unanswered by now, and the decision behind it may have
+// been revoked.
+func (c *Core) callOrder(o sched.Order, term int64, issuedAt time.Duration) (a NumberedAnswer) {
 	wait := startTimeout
 	switch o.Kind {
 	case sched.OrderStop, sched.OrderThrottle:
@@ -141,6 +145,9 @@
 	case sched.OrderPoll:
 		wait = o.Wait + pollSlack
 	}
+	if c.settings.Uptime()-issuedAt > wait {
+		return a
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	switch o.Kind {
