state/roles: exclude relays by what other relays answer

Now a relay without an answer is excluded as long as others answer; if none has answered for 0.3 s the fault is taken for the leader's own, for a second at most.

Conclusion: one rule for one dead relay, many, and a starved leader.

--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -56,6 +56,7 @@
 	available   []roles.Instance          // the relays in use
 	availableAt time.Time
 	nextSendAt  time.Time               // when waiting orders may be sent, zero if none wait
+	answeredAt  time.Time               // when any relay last answered a call
 	avoid       map[string]avoidedRelay // by worker
 }
 
@@ -166,9 +167,13 @@
 		err := c.settings.Relay.SendOrders(ctx, addr, leader, term, batch)
 		c.post(func(now time.Time) {
 			relay.sending = false
-			if err != nil {
-				c.ifLeading(term, func() { c.excludeRelay(now, name, err) })
-			}
+			c.ifLeading(term, func() {
+				if err != nil {
+					c.excludeRelay(now, name, err)
+					return
+				}
+				c.relay.answeredAt = now
+			})
 		})
 	})
 }
@@ -188,20 +193,14 @@
 }
 
 // excludeRelay excludes a relay that did not answer for relayExclusion, unless
-// so many are excluded that the fault is this instance's. Its pending orders
-// count as unanswered.
+// the fault is taken for this instance's. The relay's pending orders count as
+// unanswered.
 func (c *Core) excludeRelay(now time.Time, name string, err error) {
 	relay := c.relay.relays[name]
 	if relay == nil || now.Before(relay.excludedUntil) {
 		return
 	}
-	excluded := 0
-	for _, r := range c.relay.relays {
-		if now.Before(r.excludedUntil) {
-			excluded++
-		}
-	}
-	exclude := roles.MayExclude(excluded, excluded+len(c.relay.available))
+	exclude := roles.MayExclude(now.Sub(c.relay.answeredAt))
 	c.settings.Logger.Warn().Err(err).Str("helper", name).Bool("excluded", exclude).Msg("leader: relay does not answer")
 	if exclude {
 		relay.excludedUntil = now.Add(relayExclusion)
@@ -275,6 +274,7 @@
 		}
 		c.post(func(now time.Time) {
 			c.ifLeading(term, func() {
+				c.relay.answeredAt = now
 				for _, a := range list {
 					if p, ok := c.relay.pending[a.ID]; ok {
 						delete(c.relay.pending, a.ID)
--- a/internal/state/roles/relays.go
+++ b/internal/state/roles/relays.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"math"
 	"sort"
+	"time"
 )
 
 // Limits of the choice of relays.
@@ -20,10 +21,11 @@
 	minRelays = 6
 	// minCores stands for machines whose processor is not known.
 	minCores = 0.05
-	// maxExcludedShare is the largest share of the relays that may be excluded at
-	// the same time, as a divisor. If more fail together, the fault is more likely
-	// the leader's own.
-	maxExcludedShare = 3
+	// ownFaultSilence and maxOwnFault bound the time without an answer of any
+	// relay in which the fault is taken for the leader's own. The first is the
+	// time-out of a call to a relay.
+	ownFaultSilence = 300 * time.Millisecond
+	maxOwnFault     = time.Second
 )
 
 // Relays returns the instances through which a leader sends the orders to the
@@ -79,8 +81,10 @@
 	return (float64(x>>11) + 1) / (1 << 53)
 }
 
-// MayExclude reports whether one more relay that does not answer may be
-// excluded, if the given number out of all are excluded already.
-func MayExclude(excluded, all int) bool {
-	return excluded == 0 || (excluded+1)*maxExcludedShare <= all
+// MayExclude reports whether a relay that does not answer may be excluded, if
+// the last answer of any relay was the given time ago. Relays that fail together
+// are not excluded at first: the fault is more likely that of the leader, which
+// would then send orders to nobody.
+func MayExclude(sinceAnswer time.Duration) bool {
+	return sinceAnswer < ownFaultSilence || sinceAnswer >= maxOwnFault
 }
