state/flow, flows, core: the configuration version of a job and of each decision

What callers saw: from outside nobody could tell under which settings a job had run while the configuration changed.

--- a/internal/command/oper/flow.go
+++ b/internal/command/oper/flow.go
@@ -85,6 +85,6 @@
 	if err != nil || printed {
 		return err
 	}
-	fmt.Fprintf(c.io.Out, "job %s of %s is %s\n", v.ID, v.Queue, v.State)
+	fmt.Fprintf(c.io.Out, "job %s of %s is %s, accepted under configuration %d\n", v.ID, v.Queue, v.State, v.ConfigVersion)
 	return nil
 }
--- a/internal/command/oper/site_test.go
+++ b/internal/command/oper/site_test.go
@@ -248,6 +248,7 @@
 		{[]string{"flow", "-addr", addr, "show", "nobody"}, "", ExitRefused, "no-such-job"},
 		{[]string{"flow", "-addr", addr, "pending", "r-plain"}, "", ExitOK, "wait for their first start"},
 		{[]string{"flow", "-addr", addr, "pending", "none"}, "", ExitRefused, "no-such-queue"},
+		{[]string{"flow", "-addr", addr, "show", "own1"}, "", ExitOK, "accepted under configuration 7"},
 		{[]string{"flow", "-addr", addr, "cancel", "own1"}, "", ExitOK, "job own1 of r-plain is"},
 		{[]string{"flow", "-addr", addr, "show"}, "", ExitUsage, "flow takes one of"},
 		{[]string{"flow", "-addr", addr}, "", ExitUsage, "flow takes one of"},
--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -96,7 +96,7 @@
 	j := &flow.Job{Spec: spec, Canceled: c.earlyCancels[id]}
 	delete(c.earlyCancels, id)
 	c.jobs[id] = j
-	st := flow.Status{Queue: spec.Queue}
+	st := flow.Status{Queue: spec.Queue, ConfigVersion: spec.ConfigVersion}
 	if j.Canceled {
 		st.State = flow.Canceled
 	}
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -359,6 +359,10 @@
 }
 
 func (c *Core) logEvents(events []sched.Event) {
+	version := int64(0)
+	if conf := c.config.Load(); conf != nil {
+		version = conf.Version
+	}
 	for i := range events {
 		ev := &events[i]
 		c.settings.Meter.Count("decisions", "what", ev.Kind, 1)
@@ -378,6 +382,6 @@
 		if ev.Detail != "" {
 			l = l.Str("detail", ev.Detail)
 		}
-		l.Int64("age-ms", ev.Age.Milliseconds()).Int64("term", c.election.term).Msg("leader: decision")
+		l.Int64("config", version).Int64("age-ms", ev.Age.Milliseconds()).Int64("term", c.election.term).Msg("leader: decision")
 	}
 }
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -47,7 +47,7 @@
 	return c.forwardToPeers(ctx, "submit", s.ID, err, func(ctx context.Context, addr string) error {
 		err := c.settings.Peers.Submit(ctx, addr, s)
 		if err == nil {
-			c.index.Add(s.ID, flow.Status{Queue: s.Queue})
+			c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion})
 		}
 		return err
 	})
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -84,7 +84,7 @@
 }
 
 func toOutcome(st flow.Status, err error) *cellpb.Outcome {
-	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State)}
+	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State), ConfigVersion: st.ConfigVersion}
 	switch {
 	case errors.Is(err, core.ErrJobNotFound):
 		o.Code = codeJobNotFound
@@ -187,7 +187,7 @@
 	case err != nil:
 		return flow.Status{}, core.ErrOutcomeUnknown
 	}
-	st := flow.Status{Queue: o.Queue, State: flow.State(o.State)}
+	st := flow.Status{Queue: o.Queue, State: flow.State(o.State), ConfigVersion: o.ConfigVersion}
 	switch o.Code {
 	case codeExecuted:
 		return st, nil
--- a/internal/state/flow/index.go
+++ b/internal/state/flow/index.go
@@ -10,8 +10,9 @@
 
 // Status is the part of a job's state that callers can query.
 type Status struct {
-	Queue string
-	State State
+	Queue         string
+	State         State
+	ConfigVersion int64 // version of the configuration under which the job was accepted; 0 if not known
 }
 
 // Index holds the status of jobs by job ID. It is safe for concurrent use. The
@@ -52,7 +53,8 @@
 }
 
 // Put sets a job's status. It does nothing if the job's state is final and st is
-// not, because then st comes from an older record.
+// not, because then st comes from an older record. If st names no configuration
+// version, that of the job stays.
 func (x *Index) Put(id string, st Status) {
 	s := x.shard(id)
 	s.mu.Lock()
@@ -61,6 +63,9 @@
 		s.mu.Unlock()
 		return
 	}
+	if st.ConfigVersion == 0 {
+		st.ConfigVersion = old.ConfigVersion
+	}
 	s.jobs[id] = st
 	s.mu.Unlock()
 	x.updatePending(old, had, -1)
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -59,6 +59,9 @@
 	Steps      []Step `json:"steps"`
 	Repeat     Repeat `json:"repeat"`
 	AcceptedMs int64  `json:"accepted-ms"`
+	// ConfigVersion is the version of the configuration that Policy is from; 0 if
+	// it is not known.
+	ConfigVersion int64 `json:"config-version,omitempty"`
 }
 
 // Policy is the scheduling policy of a queue for its jobs. The objective for the
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -35,6 +35,9 @@
 	ID    string `json:"id"`
 	Queue string `json:"queue"`
 	State string `json:"state"`
+	// ConfigVersion is the version of the configuration under which the job was
+	// accepted.
+	ConfigVersion int64 `json:"config-version,omitempty"`
 }
 
 // QueueView is the JSON form of a queue.
@@ -102,7 +105,7 @@
 		}))
 		return
 	}
-	spec.Policy, spec.AcceptedMs = queue.Policy, s.Now().UnixMilli()
+	spec.Policy, spec.ConfigVersion, spec.AcceptedMs = queue.Policy, cfg.Version, s.Now().UnixMilli()
 	if err := spec.Check(); err != nil {
 		writeJSON(w, http.StatusBadRequest, badRequest(err))
 		return
@@ -111,7 +114,7 @@
 		s.writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, JobView{ID: spec.ID, Queue: spec.Queue, State: flow.Queued.String()})
+	writeJSON(w, http.StatusOK, JobView{ID: spec.ID, Queue: spec.Queue, State: flow.Queued.String(), ConfigVersion: cfg.Version})
 }
 
 func (s *Server) showJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
@@ -120,7 +123,7 @@
 		s.writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, JobView{ID: p.ByName("id"), Queue: status.Queue, State: status.State.String()})
+	writeJSON(w, http.StatusOK, JobView{ID: p.ByName("id"), Queue: status.Queue, State: status.State.String(), ConfigVersion: status.ConfigVersion})
 }
 
 func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
