--- a/internal/coordination/core/directory.go
+++ b/internal/coordination/core/directory.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/state/roles"
 )
@@ -50,9 +52,9 @@
 		if prefix != keyInstance {
 			continue
 		}
-		var in instanceRecord
-		if err := json.Unmarshal(r.Value, &in); err != nil {
-			c.settings.Logger.Error().Err(err).Str("key", r.Key).Msg("directory: skipping a record that can't be decoded")
+		in, err := decodeInstance(r.Value)
+		if err != nil {
+			c.settings.Logger.Error().Err(err).Str("key", r.Key).Msg("directory: skipping a record that describes no instance")
 			continue
 		}
 		if name == c.settings.Instance && in.Incarnation != c.settings.Incarnation && !c.role.loaded {
@@ -76,6 +78,18 @@
 	}
 }
 
+// decodeInstance decodes and checks an instance's record.
+func decodeInstance(value []byte) (instanceRecord, error) {
+	var in instanceRecord
+	if err := json.Unmarshal(value, &in); err != nil {
+		return in, errors.Wrap(err, "decode instance record")
+	}
+	if in.Addr == "" || in.Incarnation == "" {
+		return in, errors.Errorf("instance record has address %q and incarnation %q; want both", in.Addr, in.Incarnation)
+	}
+	return in, nil
+}
+
 // stepRole makes this instance a replica once its failure domain lacks one and
 // this instance is the best candidate.
 func (c *Core) stepRole(now time.Time) {
--- a/internal/coordination/core/replicas_test.go
+++ b/internal/coordination/core/replicas_test.go
@@ -136,3 +136,26 @@
 		s.wantState("after", "complete")
 	})
 }
+
+// TestDirectorySurvivesMalformedRecords guards against an instance that ends, or
+// stops finding its peers, because of a record of the directory that can't be
+// decoded or describes nothing.
+func TestDirectorySurvivesMalformedRecords(t *testing.T) {
+	runSite(t, 3, func(s *site) {
+		for i, value := range []string{"", "{", "7", `{"addr":7}`, `{"cores":-1e308,"link":"x"}`, "null", `{"replica":true}`} {
+			s.AppendToDirectory(fmt.Sprintf("n/odd%d", i), []byte(value))
+		}
+		s.AppendToDirectory("", nil)
+		s.AppendToDirectory("x/e0", []byte("{}"))
+		time.Sleep(2 * time.Second)
+		s.wantAllReady()
+		old := s.Leader()
+		s.Kill(old)
+		s.Start(old)
+		time.Sleep(4 * time.Second)
+		s.wantAllReady()
+		s.is.NoErr(s.Submit(old, s.NewJob("a", "q", tasks(2, 100))))
+		time.Sleep(2 * time.Second)
+		s.wantState("a", "complete")
+	})
+}
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -175,6 +175,12 @@
 	_, _ = s.configLog.Log("operator").Append(context.Background(), ledger.Producer{}, 0, []ledger.Record{record})
 }
 
+// AppendToDirectory appends a record to the directory, as another writer could.
+func (s *Site) AppendToDirectory(key string, value []byte) {
+	// The store has no fault here, and it stores every append without a producer.
+	_, _ = s.directory.Log("other").Append(context.Background(), ledger.Producer{}, 0, []ledger.Record{{Key: key, Value: value}})
+}
+
 // configKey is the key of the records that name configuration versions.
 const configKey = "config"
 
