state/sched, coordination/core: a backlog leaves the leader's processor to starts

Cause: the next leader has a backlog of 50 to 140 gangs for which there is no room. Each pass evaluates up to 48 steps again although nothing has changed for them: 40 to 70 ms a pass. And each call to a relay costs some 130 us (profile of the leader in a load test of real processes: 0.3 of 0.48 cores for 2,200 calls a second).

Now a step with long queries that can't be placed is evaluated again after 40 ms, or when a query about it is answered; passes take at most a third of the loop's time; and a leader whose passes are long gathers orders and answers for up to 24 ms for one call, not 8.

Test: TestBacklogOfGangsIsEvaluatedInEachPass (fails without the pause).

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -100,6 +100,7 @@
 	// the ledger was sent, in nanoseconds. What it returned has been applied.
 	currentAt   atomic.Int64
 	loopedAt    atomic.Int64 // uptime at the end of the loop's last pass, in nanoseconds
+	averagePass atomic.Int64 // moving average of the duration of scheduling passes, in nanoseconds
 	placement   placementQueue
 	relayServer relayServer
 	peerProbes  sync.Map // by peer address: result of the last readiness probe
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -16,6 +16,9 @@
 	// decideInterval is the shortest time between two passes of decisions, so
 	// that each append carries the decisions on all changes in between.
 	decideInterval = 8 * time.Millisecond
+	// maxPassShare is the largest share of the loop's time that passes may take,
+	// as a divisor. The loop also has to send orders and read their answers.
+	maxPassShare = 3
 	// appendInterval is the shortest time between two appends. Each append has
 	// a cost and takes some 7 ms.
 	appendInterval = 10 * time.Millisecond
@@ -61,9 +64,9 @@
 	c.stepTransfer(now)
 	c.nextTickAt = c.engine.Tick(now)
 	if c.decisionDue && !now.Before(c.nextDecideAt) || now.Sub(c.nextDecideAt) > loopInterval {
-		c.schedule(now)
+		took := c.schedule(now)
 		c.decisionDue = false
-		c.nextDecideAt = now.Add(decideInterval)
+		c.nextDecideAt = now.Add(max(decideInterval, maxPassShare*took))
 	}
 	c.stepAppend(now)
 	c.expireOrders(now)
--- a/internal/coordination/core/paused_test.go
+++ b/internal/coordination/core/paused_test.go
@@ -48,7 +48,7 @@
 				c.RelayOrders("leader", 1, []NumberedOrder{{ID: 7, Order: sched.Order{Kind: sched.OrderStart, Worker: "w"}}})
 				c.parts.Wait()
 				is.Equal(starts.Load(), tt.starts)
-				answers, _ := c.AwaitAnswers(t.Context(), "leader", 0, time.Second)
+				answers, _ := c.AwaitAnswers(t.Context(), "leader", 0, time.Second, 0)
 				is.Equal(len(answers), 1)
 				is.Equal(answers[0].Answer == sched.AnswerOK, tt.starts == 1) // else it counts as unanswered
 			})
--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -17,8 +17,8 @@
 	SendOrders func(ctx context.Context, addr, leader string, term int64, orders []NumberedOrder) error
 	// FetchAnswers returns the answers to this leader's orders that follow the
 	// number after, and the number of the last one. It waits up to wait for the
-	// first.
-	FetchAnswers func(ctx context.Context, addr, leader string, after uint64, wait time.Duration) ([]NumberedAnswer, uint64, error)
+	// first, and gathers further ones for the given time.
+	FetchAnswers func(ctx context.Context, addr, leader string, after uint64, wait, gather time.Duration) ([]NumberedAnswer, uint64, error)
 }
 
 // Limits of sending orders through relays.
@@ -35,10 +35,12 @@
 	answerSlack = 300 * time.Millisecond
 	// relayExclusion is how long a relay that did not answer is excluded.
 	relayExclusion = 3 * time.Second
-	// relaySendInterval is the shortest time between two calls that pass orders
-	// to a relay. Orders in between share a call, which costs the leader as much
-	// as some ten orders.
-	relaySendInterval = 8 * time.Millisecond
+	// minGatherTime and maxGatherTime bound the shortest time between two calls
+	// that pass orders to a relay, and the time for which a relay gathers answers.
+	// A call costs the leader as much as some ten orders, so a busy leader makes
+	// fewer of them.
+	minGatherTime = 8 * time.Millisecond
+	maxGatherTime = 24 * time.Millisecond
 	// sweepInterval is the time between two checks for orders past their
 	// deadline, and between two updates of the available relays.
 	sweepInterval = 50 * time.Millisecond
@@ -123,15 +125,22 @@
 	return roles.Relays(candidates, c.engine.Workers())
 }
 
+// gatherTime returns how long orders to a relay, and its answers, are gathered
+// for one call: twice the average duration of a scheduling pass, within bounds, since
+// long passes are the sign of a busy leader.
+func (c *Core) gatherTime() time.Duration {
+	return min(maxGatherTime, max(minGatherTime, 2*time.Duration(c.averagePass.Load())))
+}
+
 // sendToRelays sends the waiting orders of each relay, unless a call to it is
-// under way or began less than relaySendInterval ago.
+// under way or began less than gatherTime ago.
 func (c *Core) sendToRelays(now time.Time) {
 	c.relay.nextSendAt = time.Time{}
 	for name, relay := range c.relay.relays {
 		if len(relay.waiting) == 0 || relay.sending {
 			continue
 		}
-		if at := relay.sentAt.Add(relaySendInterval); now.Before(at) {
+		if at := relay.sentAt.Add(c.gatherTime()); now.Before(at) {
 			if next := &c.relay.nextSendAt; next.IsZero() || at.Before(*next) {
 				*next = at
 			}
@@ -258,7 +267,7 @@
 	ctx := c.relay.ctx
 	for ctx.Err() == nil {
 		fetchCtx, cancel := context.WithTimeout(ctx, fetchWait+fetchSlack)
-		list, last, err := c.settings.Relay.FetchAnswers(fetchCtx, addr, leader, after, fetchWait)
+		list, last, err := c.settings.Relay.FetchAnswers(fetchCtx, addr, leader, after, fetchWait, c.gatherTime())
 		cancel()
 		if err != nil {
 			c.post(func(now time.Time) { c.ifLeading(term, func() { c.excludeRelay(now, name, err) }) })
--- a/internal/coordination/core/relay_server.go
+++ b/internal/coordination/core/relay_server.go
@@ -25,9 +25,9 @@
 
 // Limits of relaying orders for a leader.
 const (
-	// answerBatchDelay is how long AwaitAnswers waits after the first answer,
-	// so that one reply carries several.
-	answerBatchDelay   = 8 * time.Millisecond
+	// defaultGatherTime is how long AwaitAnswers waits after the first answer if
+	// the leader names no time, so that one reply carries several.
+	defaultGatherTime  = 8 * time.Millisecond
 	maxAnswersPerReply = 500
 	// sessionTTL is how long a leader's session is kept without a call from it.
 	sessionTTL = 10 * time.Second
@@ -111,9 +111,13 @@
 // AwaitAnswers returns the answers to the leader's orders that follow the given
 // number, and the number of the last one. It acknowledges those up to the given
 // number, which are dropped. Without answers it waits for one until wait has
-// passed or ctx is done.
-func (c *Core) AwaitAnswers(ctx context.Context, leader string, after uint64, wait time.Duration) ([]NumberedAnswer, uint64) {
+// passed or ctx is done, and then gathers further ones for the given time, or
+// for defaultGatherTime if that is 0.
+func (c *Core) AwaitAnswers(ctx context.Context, leader string, after uint64, wait, gather time.Duration) ([]NumberedAnswer, uint64) {
 	s := c.relayServer.session(leader, c.settings.Now())
+	if gather <= 0 {
+		gather = defaultGatherTime
+	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	for {
@@ -123,7 +127,7 @@
 		}
 		select {
 		case <-arrived:
-			time.Sleep(answerBatchDelay)
+			time.Sleep(min(gather, maxGatherTime))
 		case <-t.C:
 			return nil, last
 		case <-ctx.Done():
--- a/internal/coordination/core/stats.go
+++ b/internal/coordination/core/stats.go
@@ -16,6 +16,8 @@
 	// maxQueueLines bounds the log lines on queues in each statsInterval. The
 	// metrics cover all queues.
 	maxQueueLines = 8
+	// passAverageWeight is the weight of a pass in averagePass, as a divisor.
+	passAverageWeight = 16
 )
 
 // latencyMetrics are the names of the histograms, by sched.Latency.
@@ -34,9 +36,9 @@
 	maxDelay time.Duration // longest delay of the loop before a pass
 }
 
-// schedule makes a scheduling pass and measures it. The delay of the loop is
+// schedule makes a scheduling pass and returns how long it took. The delay of the loop is
 // the time since the loop should have woken up at the latest.
-func (c *Core) schedule(now time.Time) {
+func (c *Core) schedule(now time.Time) time.Duration {
 	delay := time.Duration(0)
 	if !c.wakeAt.IsZero() {
 		delay = max(now.Sub(c.wakeAt), 0)
@@ -46,9 +48,12 @@
 	took := c.settings.Now().Sub(began)
 	c.settings.Meter.Observe("pass_ms", "", "", took)
 	c.settings.Meter.Observe("loop_delay_ms", "", "", delay)
+	average := time.Duration(c.averagePass.Load())
+	c.averagePass.Store(int64(average + (took-average)/passAverageWeight))
 	c.passes.count++
 	c.passes.longest = max(c.passes.longest, took)
 	c.passes.maxDelay = max(c.passes.maxDelay, delay)
+	return took
 }
 
 // logStats logs the leader's state and its activity since the last call, and
--- a/internal/protocol/cell/relay.go
+++ b/internal/protocol/cell/relay.go
@@ -38,7 +38,7 @@
 // Answers returns the answers to a leader's orders after a given number. It waits
 // up to the given time for the first.
 func (s *Server) Answers(ctx context.Context, req *cellpb.AnswersRequest) (*cellpb.AnswersReply, error) {
-	list, last := s.Core.AwaitAnswers(ctx, req.Leader, req.After, time.Duration(req.WaitMs)*time.Millisecond)
+	list, last := s.Core.AwaitAnswers(ctx, req.Leader, req.After, time.Duration(req.WaitMs)*time.Millisecond, time.Duration(req.GatherMs)*time.Millisecond)
 	reply := &cellpb.AnswersReply{Last: last}
 	for _, a := range list {
 		msg := &cellpb.Answer{Id: a.ID, Answer: int32(a.Answer), Boot: a.Report.Incarnation, ClockUs: a.Report.Clock.Microseconds()}
@@ -74,9 +74,10 @@
 
 // FetchAnswers returns the answers after number after to orders that were sent to
 // the instance at addr, and the number of the last one returned. It waits up to
-// wait for the first. With an error it returns after unchanged.
-func (c *Client) FetchAnswers(ctx context.Context, addr, leader string, after uint64, wait time.Duration) ([]core.NumberedAnswer, uint64, error) {
-	reply, err := c.client(addr).Answers(ctx, &cellpb.AnswersRequest{Leader: leader, After: after, WaitMs: wait.Milliseconds()})
+// wait for the first, and gathers further ones for the given time. With an error
+// it returns after unchanged.
+func (c *Client) FetchAnswers(ctx context.Context, addr, leader string, after uint64, wait, gather time.Duration) ([]core.NumberedAnswer, uint64, error) {
+	reply, err := c.client(addr).Answers(ctx, &cellpb.AnswersRequest{Leader: leader, After: after, WaitMs: wait.Milliseconds(), GatherMs: gather.Milliseconds()})
 	if err != nil {
 		return nil, after, errs.At("fetch answers", addr, err)
 	}
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -249,12 +249,12 @@
 			c.RelayOrders(leader, term, orders)
 			return nil
 		},
-		FetchAnswers: func(ctx context.Context, addr, leader string, after uint64, wait time.Duration) ([]core.NumberedAnswer, uint64, error) {
+		FetchAnswers: func(ctx context.Context, addr, leader string, after uint64, wait, gather time.Duration) ([]core.NumberedAnswer, uint64, error) {
 			c := s.reachableCore(addr)
 			if c == nil {
 				return nil, after, errPeerUnreachable
 			}
-			list, last := c.AwaitAnswers(ctx, leader, after, wait)
+			list, last := c.AwaitAnswers(ctx, leader, after, wait, gather)
 			return list, last, nil
 		},
 	}
--- a/internal/state/sched/backlog_test.go
+++ b/internal/state/sched/backlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -63,3 +64,35 @@
 	is.True(queries[0].Quick)
 	is.Equal(clients[queries[0].Client], 0)
 }
+
+// TestBacklogOfGangsIsEvaluatedInEachPass guards against passes that evaluate
+// every gang of a backlog again and again while nothing has changed for it: with
+// a hundred of them, passes took 40 to 70 ms, and starts were confirmed after
+// 0.3 s, in which their processors were idle. A gang is evaluated at once when a
+// query about it is answered.
+func TestBacklogOfGangsIsEvaluatedInEachPass(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 48, flow.PlacementService{CallMs: 400, PerWorkerMs: 4, TicketValidMs: 2000})
+	gang := taskStep(200, 12000, 4000) // more than all workers have
+	gang.Gang = true
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("a", "q", gang)})
+	e.Schedule(testTime(0))
+	queries := e.TakeOutput().Queries
+	is.True(len(queries) > 0)
+	evaluated := func(ms int) int {
+		p := &schedulingPass{now: testTime(ms), candidates: map[*worker]*candidate{}}
+		e.placeSteps(p, e.pendingSteps(p.now), maxStepsPerPass)
+		return p.stepsEvaluated
+	}
+	for _, q := range queries {
+		tickets := map[string]string{}
+		for _, w := range q.Workers {
+			tickets[w] = "t"
+		}
+		e.HandleQueryResult(testTime(10), q, tickets, 2*time.Second, true)
+	}
+	is.Equal(evaluated(10), 1) // the answer has come
+	is.Equal(evaluated(18), 0)
+	is.Equal(evaluated(40), 0)
+	is.Equal(evaluated(51), 1)
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -14,6 +14,12 @@
 const (
 	maxStepsPerPass = 48
 	maxStepsInTurn  = 12 // of them, steps evaluated in turn
+	// reevaluationPause is how long a step whose queries are long, and that can't
+	// be placed, is not evaluated again unless a query about it is answered. It is
+	// short beside the queries, and a fraction of reservationTime. Without it the
+	// steps of a backlog of gangs are evaluated in each pass, which then takes the
+	// leader's processor from quick steps and from starts.
+	reevaluationPause = 40 * time.Millisecond
 )
 
 // Schedule makes a scheduling pass: it places the tasks that can start now,
@@ -74,6 +80,9 @@
 		return true
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
+	if p.now.Before(sp.nextEvaluation) {
+		return false
+	}
 	for _, t := range sp.tickets {
 		if p.now.Before(t.expires) {
 			return true
@@ -212,6 +221,9 @@
 	if need -= e.placeTasks(p, ps, st, ready, sp); need == 0 {
 		return
 	}
+	if queryDuration(policy.PlacementService, minQueryWorkers) > maxQuickQuery {
+		sp.nextEvaluation = p.now.Add(reevaluationPause)
+	}
 	chosen := e.reserveAndPreempt(p, ps, st, permitted, need)
 	if len(sp.queriedBy) > 0 {
 		return
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -62,6 +62,7 @@
 	purpose        QueryPurpose              // of the newest queries
 	nextQuery      time.Time                 // earliest time of the next query
 	nextSearch     time.Time                 // earliest time of the next search for workers to query
+	nextEvaluation time.Time                 // earliest time of the next evaluation, see reevaluationPause
 	softReservedOn []*worker                 // workers with a soft reservation for the step
 	reservedOn     []*worker                 // workers with a reservation for the step
 	nextPreemption time.Time                 // earliest time of the next preemption for the step
@@ -233,6 +234,7 @@
 	if j == nil || j.placements[q.Round][q.Step] != sp {
 		return // the step is done or its job has ended
 	}
+	sp.nextEvaluation = time.Time{}
 	if !ok {
 		sp.nextQuery = now.Add(queryRetryPause)
 		e.addEvent("advice-failed", id, 0, q.Client, "", now.Sub(sp.queriedAt))
