state/sched: a wide gang is queried for by more clients on a larger site

Cause: queries about one gang were bound to three clients at a time, 90 workers, on each site. With a quarter of the workers allowed a gang of 60 tasks needs about 380 names, so four and more queries one after another, 0.7 s each, and the first tickets expire meanwhile (valid for 1.5 s).

Now an eighth of the clients that get long queries may be used at a time by one gang, three at least. Sites of up to 24 such clients see no change.

Ruled out: a fixed higher bound; on a small site one gang would hold all clients for long queries.

--- a/internal/state/sched/clients.go
+++ b/internal/state/sched/clients.go
@@ -57,6 +57,17 @@
 	return min(most, 1+int(math.Ceil(quickLoadFactor*load)))
 }
 
+// longQueryClients returns how many of the healthy clients get long queries.
+func (e *Engine) longQueryClients(now time.Time) int {
+	healthy := 0
+	for _, c := range e.clientsByName {
+		if c.healthy {
+			healthy++
+		}
+	}
+	return healthy - e.quickOnlyClients(now, healthy)
+}
+
 // exceedsClientShare reports whether the queue has its share of the clients for
 // long queries, while steps of a queue with less than that find none. The shares
 // of the queues that need clients are equal, so that the steps of one queue
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -228,7 +228,7 @@
 	if len(sp.queriedBy) > 0 {
 		return
 	}
-	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang)
+	workers := workersToRenew(p, sp, policy.PlacementService, chosen, st.Gang, e.maxNamedWorkers(p.now, st.Gang))
 	if len(chosen) == 0 {
 		if p.now.Before(sp.nextSearch) || !e.findsClient(p.now, ps.job.Queue, policy.PlacementService) {
 			return
@@ -248,7 +248,7 @@
 // would expire before the answer are renewed too. The others are not, so that a
 // gang on more workers than may be named at once gets all its tickets by
 // consecutive queries.
-func workersToRenew(p *schedulingPass, sp *stepPlacement, service flow.PlacementService, chosen []*candidate, gang bool) []string {
+func workersToRenew(p *schedulingPass, sp *stepPlacement, service flow.PlacementService, chosen []*candidate, gang bool, maxNames int) []string {
 	answeredBy := p.now.Add(maxLongQueryWait + queryDuration(service, min(len(chosen), maxQueryWorkers)))
 	var expired, expiring []string
 	for _, c := range chosen {
@@ -263,7 +263,7 @@
 		return nil
 	}
 	names := append(expired, expiring...)
-	return names[:min(len(names), maxNamedWorkers(gang))]
+	return names[:min(len(names), maxNames)]
 }
 
 // workersToQuery returns the IDs of workers to query for the first time for a
@@ -282,7 +282,7 @@
 		}
 	}
 	share := e.allowedShare(ps.job.Queue)
-	minNames, maxNames := affordableQueryWorkers(policy.PlacementService), maxNamedWorkers(st.Gang)
+	minNames, maxNames := affordableQueryWorkers(policy.PlacementService), e.maxNamedWorkers(p.now, st.Gang)
 	var names []string
 	fits := func() bool { return expectedFit >= float64(need) }
 	enough := fits
@@ -345,16 +345,16 @@
 	if known >= knownRoomFactor*len(ps.idleTasks) {
 		return false
 	}
-	return !st.Gang || len(e.workersByID) <= maxNamedWorkers(true) || e.admitPartialReservation(p.now, ps, st, len(ps.idleTasks))
+	return !st.Gang || len(e.workersByID) <= e.maxNamedWorkers(p.now, true) || e.admitPartialReservation(p.now, ps, st, len(ps.idleTasks))
 }
 
 // maxNamedWorkers returns how many workers the queries about a step that are in
 // flight at the same time may name.
-func maxNamedWorkers(gang bool) int {
-	if gang {
-		return maxGangQueries * maxQueryWorkers
+func (e *Engine) maxNamedWorkers(now time.Time, gang bool) int {
+	if !gang {
+		return maxQueryWorkers
 	}
-	return maxQueryWorkers
+	return max(minGangQueries, e.longQueryClients(now)/clientsPerGangQuery) * maxQueryWorkers
 }
 
 // answered reports whether a query about the step has been answered for the
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -122,7 +122,7 @@
 // and from querying.
 func TestOversizedGangLeavesReservationToOthers(t *testing.T) {
 	is := is.New(t)
-	e := readyEngine(t, maxNamedWorkers(true)+10, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
+	e := readyEngine(t, minGangQueries*maxQueryWorkers+10, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
 	for _, w := range e.workersByID {
 		w.used = work.Size{CPU: 23500, Memory: 1000}
 		e.index.update(w)
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -16,10 +16,13 @@
 	// as many with free capacity are left.
 	maxQueryWorkers = 30
 	minQueryWorkers = 4
-	// maxGangQueries bounds the queries about a gang that are in flight at the
-	// same time. All workers of a gang need valid tickets at the same time, and
-	// consecutive queries may take longer than a ticket is valid.
-	maxGangQueries = 3
+	// minGangQueries and clientsPerGangQuery bound the queries about a gang that
+	// are in flight at the same time: to one for each clientsPerGangQuery clients
+	// that get long queries, and minGangQueries at least. All workers of a gang need
+	// valid tickets at the same time, and consecutive queries may take longer than a
+	// ticket is valid.
+	minGangQueries      = 3
+	clientsPerGangQuery = 8
 	// gangFitMargin is how many times the tasks of a gang are expected to fit on the
 	// workers that are queried for it. A gang needs room for all its tasks, and
 	// about every second query finds less than the mean; another one takes as long
--- a/internal/state/sched/tickets_test.go
+++ b/internal/state/sched/tickets_test.go
@@ -210,7 +210,7 @@
 	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("a", "q", gangStep(60, 20000, 400))})
 	e.Schedule(testTime(0))
 	queries := e.TakeOutput().Queries
-	is.Equal(len(queries), maxGangQueries)
+	is.Equal(len(queries), minGangQueries)
 	clients, workers := map[string]bool{}, map[string]bool{}
 	for _, q := range queries {
 		clients[q.Client] = true
@@ -218,8 +218,8 @@
 			workers[w] = true
 		}
 	}
-	is.Equal(len(clients), maxGangQueries)
-	is.Equal(len(workers), maxGangQueries*maxQueryWorkers)
+	is.Equal(len(clients), minGangQueries)
+	is.Equal(len(workers), minGangQueries*maxQueryWorkers)
 	// One client fails: the step is queried for again when the others have
 	// answered.
 	e.HandleQueryResult(testTime(100), queries[0], nil, 0, false)
--- a/internal/state/sched/wide_gang_test.go
+++ b/internal/state/sched/wide_gang_test.go
@@ -69,6 +69,30 @@
 	is.Equal(s.violations, nil)
 }
 
+// TestWideGangUsesClientsOfLargeSite guards against wide gangs that get their
+// tickets by consecutive queries on a site that has idle clients for all of them
+// at once.
+func TestWideGangUsesClientsOfLargeSite(t *testing.T) {
+	is := is.New(t)
+	service := flow.PlacementService{CallMs: 490, PerWorkerMs: 7, TicketValidMs: 1500}
+	oneQuery := queryDuration(service, maxQueryWorkers) + 200*time.Millisecond
+	s := newSim(t, 4, 1100)
+	s.timedQueries, s.placementClients = true, 147
+	s.config = &flow.Config{Version: 2, Queues: []flow.Queue{{Name: "gangs", Policy: flow.Policy{Service: simService, MaxAttempts: 3, PlacementService: service}}}}
+	s.allowedShares = map[string]float64{"gangs": 0.25}
+	s.startLeader()
+	s.run(5 * time.Second)
+	for _, tasks := range []int{30, 60} {
+		id := fmt.Sprintf("g%d", tasks)
+		s.submit(newJobSpec(id, "gangs", gangStep(tasks, 20000, 500)))
+		if waited := s.waitForStart(id, 5*time.Second); waited > oneQuery {
+			t.Errorf("a gang of %d tasks on idle workers started after %v; want at most %v, the time of one query", tasks, waited, oneQuery)
+		}
+		s.run(3 * time.Second)
+	}
+	is.Equal(s.violations, nil)
+}
+
 // TestRenewalNamesMissingTicketsFirst guards against a gang on more workers than
 // may be named at once: if workers with valid tickets took the names, those
 // without one would never be named.
@@ -84,11 +108,11 @@
 			sp.tickets[w.ID] = ticket{incarnation: 1, expires: expires}
 		}
 	}
-	most := maxNamedWorkers(true)
+	most := minGangQueries * maxQueryWorkers
 	add(most, now.Add(100*time.Millisecond)) // would expire before the answer
 	add(most, now.Add(time.Hour))
 	add(10, now)
-	names := workersToRenew(&schedulingPass{now: now}, sp, flow.PlacementService{CallMs: 300, PerWorkerMs: 4}, chosen, true)
+	names := workersToRenew(&schedulingPass{now: now}, sp, flow.PlacementService{CallMs: 300, PerWorkerMs: 4}, chosen, true, most)
 	is.Equal(len(names), most)
 	is.Equal(names[:10], []string{"w180", "w181", "w182", "w183", "w184", "w185", "w186", "w187", "w188", "w189"})
 	is.Equal(names[10], "w000")
