state/sched: workers' speeds are learned within a step

Cause: the speed of a worker was learned from each task's run time over its job's estimate. The estimates of quotes are off by a factor of 2 and more, which is common to all tasks of a step, so a few overestimated steps made a slow worker look fast.

Now the tasks of a step are compared with each other when the step is done, each worker with the others, and with the job's estimate only as far as the queue's estimates are right. Each speed has a variance: what little is known moves fast, what is known well moves little, and a deviation of more than three standard deviations starts anew.

--- a/internal/state/sched/activity.go
+++ b/internal/state/sched/activity.go
@@ -225,7 +225,7 @@
 		}
 		return
 	}
-	if stepIfAllDone(r, step) == step {
+	if stepDone(r, step) {
 		e.noteStartableSteps(now, j, r)
 	}
 }
--- a/internal/state/sched/estimates.go
+++ b/internal/state/sched/estimates.go
@@ -9,13 +9,6 @@
 
 // Weights, bounds and initial values of the estimates.
 const (
-	// minSlowdownSampleWeight is the least weight of one more task in the
-	// estimated slowdown of a worker. The first tasks weigh more: after n tasks
-	// the next one has the weight 1/(n+slowdownPriorSamples): the estimated
-	// run times of steps are wrong by about as much as the speeds of workers
-	// differ.
-	minSlowdownSampleWeight = 0.2
-	slowdownPriorSamples    = 2.5
 	// queueSampleWeight is the weight of one more task, or of one more answer
 	// about a worker, in the means of a queue.
 	queueSampleWeight = 0.03
@@ -39,6 +32,7 @@
 type WorkerEstimates struct {
 	MeasuredIncarnation int64   `json:"boot"`
 	LogSlowdown         float64 `json:"slow"`    // log of how much longer tasks take on it than on average
+	Variance            float64 `json:"var"`     // of LogSlowdown; 0 means unknown
 	Samples             int     `json:"samples"` // tasks that the slowdown is estimated from
 }
 
@@ -75,7 +69,7 @@
 	estimates := Estimates{Workers: map[string]WorkerEstimates{}, Queues: map[string]QueueEstimates{}}
 	for _, w := range e.workersByID {
 		if w.Samples > 0 && w.listed {
-			estimates.Workers[w.ID] = WorkerEstimates{MeasuredIncarnation: w.lastIncarnation, LogSlowdown: roundToHundredths(w.LogSlowdown), Samples: w.Samples}
+			estimates.Workers[w.ID] = WorkerEstimates{MeasuredIncarnation: w.lastIncarnation, LogSlowdown: roundToHundredths(w.LogSlowdown), Variance: roundToHundredths(w.Variance), Samples: w.Samples}
 		}
 	}
 	for name, q := range e.queueEstimates {
@@ -108,9 +102,10 @@
 	e.index.update(w)
 }
 
-// updateEstimates updates the estimates of the worker and the queue from a run
-// that ended as done, and ends the worker's series of failures. Only the first
-// run of a task counts for the estimates.
+// updateEstimates updates the estimates of the queue from a run that ended as
+// done, notes its run time for the estimate of the worker's slowdown, and ends
+// the worker's series of failures. Only the first run of a task counts for the
+// estimates.
 func (e *Engine) updateEstimates(now time.Time, r *run, st *flow.Step) {
 	clear(r.worker.failedJobs)
 	r.worker.lastDone = now
@@ -125,7 +120,6 @@
 	if st.Gang {
 		return // the slowest member determines the run time of all
 	}
-	r.worker.LogSlowdown += max(minSlowdownSampleWeight, 1/(float64(r.worker.Samples)+slowdownPriorSamples)) * (relative - r.worker.LogSlowdown)
-	r.worker.Samples++
-	e.index.update(r.worker)
+	sp := r.job.stepPlacement(r.id.Round, r.id.Step)
+	sp.runTimes = append(sp.runTimes, runTime{worker: r.worker, incarnation: r.worker.lastIncarnation, logRatio: relative})
 }
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -250,7 +250,12 @@
 			markDone(&round.Steps[r.id.Step][i])
 		}
 	}
-	delete(j.placements[round.Number], stepIfAllDone(round, r.id.Step))
+	if stepDone(round, r.id.Step) {
+		if sp := j.placements[round.Number][r.id.Step]; sp != nil {
+			updateSlowdowns(e.ensureQueueEstimates(j.Queue), sp.runTimes, e.index)
+		}
+		delete(j.placements[round.Number], r.id.Step)
+	}
 	e.noteTaskDone(now, j, round, r.id.Step)
 	if round.Unfinished > 0 {
 		return
@@ -267,14 +272,14 @@
 	}
 }
 
-// stepIfAllDone returns step if all its tasks are done and -1 otherwise.
-func stepIfAllDone(r *flow.Round, step int) int {
+// stepDone reports whether all tasks of the step are done.
+func stepDone(r *flow.Round, step int) bool {
 	for i := range r.Steps[step] {
 		if r.Steps[step][i].Phase != flow.Done {
-			return -1
+			return false
 		}
 	}
-	return step
+	return true
 }
 
 // handleFailure counts a failed run of a task or of its gang, and fails the job
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -75,6 +75,7 @@
 	reservedOn     []*worker                 // workers with a reservation for the step
 	nextPreemption time.Time                 // earliest time of the next preemption for the step
 	lastFailure    time.Time                 // when the end of a failed run of the step was last reported
+	runTimes       []runTime                 // of first runs that ended as done
 }
 
 // ticket permits a step to run on one worker.
