state/sched: searches of a backlog take a bounded share of the processor

Cause: a gang without room searches all workers each 100 ms for some to query (0.5 ms at 1,100 workers), so the cost of a pass grows with the number of waiting gangs, and a pass delays the next one by three times its own time.

Ruled out: the leader's processor as a whole (0.34 of 0.8 cores on average), garbage collection, evaluation of known workers (at most 2 % in the profile; the searches are 75 % of the passes).

Now the pause after a fruitless search grows with the pending steps, 5 ms for each, 100 ms at least.

--- a/internal/state/sched/backlog_test.go
+++ b/internal/state/sched/backlog_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // TestPassEvaluatesBoundedSteps guards against a pass whose cost grows with the
@@ -96,3 +97,38 @@
 	is.Equal(evaluated(40), 0)
 	is.Equal(evaluated(51), 1)
 }
+
+// TestSearchesOfBacklogAreBounded guards against a backlog of gangs without room
+// whose searches for workers to query take the leader's processor: passes came
+// 14 times a second instead of 115, and quick steps waited for them.
+func TestSearchesOfBacklogAreBounded(t *testing.T) {
+	// A search may look at all workers, which takes some 0.5 ms at 1,100 of them.
+	// Searches may take a tenth of a processor.
+	const maxPerSecond = 200
+	for _, gangs := range []int{50, 100, 200} {
+		t.Run(fmt.Sprintf("gangs=%d", gangs), func(t *testing.T) {
+			e := readyEngine(t, 300, flow.PlacementService{CallMs: 400, PerWorkerMs: 4, TicketValidMs: 2000})
+			for _, w := range e.workersByID {
+				w.used = work.Size{CPU: 30000, Memory: 1000}
+				e.index.update(w)
+			}
+			for i := range gangs {
+				e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("g%03d", i), "q", gangStep(400, 9000, 400))})
+			}
+			searches := func(fromMs, toMs int) int {
+				n := 0
+				for ms := fromMs; ms < toMs; ms += 8 {
+					now := testTime(ms)
+					p := e.newPass(now, e.pendingSteps(now))
+					e.placeSteps(p, e.pendingSteps(now), gangs)
+					n += p.stepsEvaluated
+				}
+				return n
+			}
+			searches(0, 1000)
+			if n := searches(1000, 3000) / 2; n > maxPerSecond {
+				t.Errorf("a backlog of %d gangs searched %d times a second; want at most %d", gangs, n, maxPerSecond)
+			}
+		})
+	}
+}
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -31,6 +31,7 @@
 	candidates     map[*worker]*candidate // by worker, of those visited so far; nil for an unusable worker
 	lowestPriority int                    // the lowest priority (highest number) of any queue or pending step
 	stepsEvaluated int                    // steps for which workers were evaluated
+	searchPause    time.Duration          // pause of a step after a search for workers to query that found none
 }
 
 // candidate returns the pass's candidate for a worker, nil if no task may start
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -33,13 +33,7 @@
 	if len(pending) == 0 {
 		return
 	}
-	p := &schedulingPass{now: now, candidates: map[*worker]*candidate{}}
-	for _, ps := range pending {
-		p.lowestPriority = max(p.lowestPriority, ps.priority)
-	}
-	for i := range e.config.Queues {
-		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
-	}
+	p := e.newPass(now, pending)
 	n := e.placeSteps(p, pending, maxStepsPerPass-maxStepsInTurn)
 	rest := pending[n:]
 	if len(rest) == 0 {
@@ -53,6 +47,20 @@
 	}
 }
 
+func (e *Engine) newPass(now time.Time, pending []pendingStep) *schedulingPass {
+	p := &schedulingPass{
+		now: now, candidates: map[*worker]*candidate{},
+		searchPause: max(minSearchPause, time.Duration(len(pending))*searchPausePerStep),
+	}
+	for _, ps := range pending {
+		p.lowestPriority = max(p.lowestPriority, ps.priority)
+	}
+	for i := range e.config.Queues {
+		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
+	}
+	return p
+}
+
 // placeSteps places steps in order until the pass has evaluated limit steps. It
 // returns the number of steps that it has dealt with.
 func (e *Engine) placeSteps(p *schedulingPass, steps []pendingStep, limit int) int {
@@ -234,7 +242,7 @@
 			return
 		}
 		if workers = e.workersToQuery(p, ps, st, policy, sp, permitted, need); len(workers) == 0 {
-			sp.nextSearch = p.now.Add(searchPause)
+			sp.nextSearch = p.now.Add(p.searchPause)
 		}
 	}
 	if named := e.query(p.now, ps.job, ps.round.Number, ps.step, policy.PlacementService, workers); len(named) > 0 {
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -52,9 +52,12 @@
 	// queryRetryPause is the pause after a failed query until its step is
 	// queried again.
 	queryRetryPause = 100 * time.Millisecond
-	// searchPause is the pause after a search for workers to query that found
-	// none, because a search may look at all workers.
-	searchPause = 100 * time.Millisecond
+	// minSearchPause is the shortest pause after a search for workers to query that
+	// found none, because a search may look at all workers. Each pending step adds
+	// searchPausePerStep, so that the searches of a backlog take no more of the
+	// leader's processor than those of a few steps.
+	minSearchPause     = 100 * time.Millisecond
+	searchPausePerStep = 5 * time.Millisecond
 	// probeRetryPause is the pause before a client that failed is probed. It
 	// doubles with each further failure up to maxProbeRetryPause.
 	probeRetryPause    = 200 * time.Millisecond
