state/sched: gangs keep off workers on which a run has just failed

Cause: a worker was kept from new work only after three jobs had failed there in a row, and from a failed task only for that task. A gang of 40 tasks meets one of 3 % bad workers more often than not; the idle bad worker is then free again, first of all.

Ruled out: quarantine after fewer jobs. It takes a worker from all work, and 0.5 % of the runs fail by the job's own fault.

Now no gang is placed on a worker for 2 s after the first run of a task failed there (and for 2 s after a quarantine), unless a run ends as done there before. Other tasks still go there and show whether it works.

--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -72,6 +72,9 @@
 	if c.worker.Service != policy.Service || !size.FitsIn(c.worker.Capacity) || (st.Label != "" && !c.worker.hasLabel(st.Label)) {
 		return false
 	}
+	if st.Gang && p.now.Before(c.worker.suspectUntil) {
+		return false // one failed member fails the whole gang
+	}
 	if st.Filling && c.worker.throttle.speedPercent() < minPlacementPercent {
 		return false
 	}
--- a/internal/state/sched/estimates.go
+++ b/internal/state/sched/estimates.go
@@ -108,6 +108,7 @@
 // estimates.
 func (e *Engine) updateEstimates(now time.Time, r *run, st *flow.Step) {
 	clear(r.worker.failedJobs)
+	r.worker.suspectUntil = time.Time{}
 	r.worker.lastDone = now
 	if st.EstimateMs <= 0 || r.startedAt.IsZero() || r.number > 1 {
 		return
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -325,10 +325,12 @@
 	w := r.worker
 	if r.task.FailedRuns == 0 {
 		w.failedJobs[r.job.ID] = true
+		w.suspectUntil = now.Add(failedWorkerTime)
 	}
 	if len(w.failedJobs) >= quarantineFailedJobs {
 		e.addEvent("worker-benched", TaskID{}, 0, w.ID, "jobs fail there one after another", 0)
 		w.excludedUntil = now.Add(quarantineTime)
+		w.suspectUntil = w.excludedUntil.Add(failedWorkerTime)
 		clear(w.failedJobs)
 	}
 }
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -34,6 +34,7 @@
 	leaderPaused bool // the leader makes no step
 	workers      map[string]*simWorker
 	workerNames  []string
+	runWorkers   map[runKey]*simWorker // where a run was started
 
 	// Rates of faults, and the share of allowed workers, from 0 to 1.
 	orderLossRate   float64 // orders that are neither carried out nor answered
@@ -84,6 +85,12 @@
 	uneven float64         // deviation between the tasks of a step, as a log
 }
 
+// runKey names one run of a task.
+type runKey struct {
+	id     TaskID
+	number int
+}
+
 // simWorker is a worker with its own clock, which may run slow.
 type simWorker struct {
 	sim            *sim
@@ -159,7 +166,7 @@
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000),
 		params: Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: 120 * time.Second},
-		jobs:   map[string]*storedJob{}, workers: map[string]*simWorker{}, allowedShare: 1, stopTime: 100 * time.Millisecond, stepWork: map[string]jobWork{},
+		jobs:   map[string]*storedJob{}, workers: map[string]*simWorker{}, runWorkers: map[runKey]*simWorker{}, allowedShare: 1, stopTime: 100 * time.Millisecond, stepWork: map[string]jobWork{},
 		started: map[TaskID]bool{}, ackedDone: map[TaskID]bool{}, done: map[TaskID]bool{}, savedWork: map[TaskID]time.Duration{}, ackedFailures: map[TaskID]int{},
 	}
 	s.config = &flow.Config{Version: 1}
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -96,6 +96,7 @@
 	w.extendLease(o.LeaseExpiry)
 	r := &simRun{id: o.Task, number: o.Run, size: step.Size, gang: step.Gang, startedAt: s.now, running: true}
 	w.runs[o.Task] = r
+	s.runWorkers[runKey{o.Task, o.Run}] = w
 	s.started[o.Task] = true
 	work := s.workOf(stored.spec, o.Task.Step)
 	if step.Checkpointing && !step.Gang && s.savedWork[o.Task] > 0 {
@@ -109,10 +110,19 @@
 	if w.tasksHang || step.LongRunning {
 		return AnswerOK
 	}
-	s.after(runTime, func() { w.endRun(r) })
+	s.after(s.untilEnd(w, runTime), func() { w.endRun(r) })
 	return AnswerOK
 }
 
+// untilEnd returns when a run of the given run time ends: at any time before if
+// the worker fails all that it starts.
+func (s *sim) untilEnd(w *simWorker, runTime time.Duration) time.Duration {
+	if !w.tasksFail {
+		return runTime
+	}
+	return time.Duration(s.rng.Float64() * float64(runTime))
+}
+
 // checkInvariants records a violation for each invariant that a start breaks.
 func (w *simWorker) checkInvariants(o Order, stored *storedJob, step *flow.Step) {
 	s := w.sim
@@ -156,13 +166,11 @@
 
 // findMember returns run n of a task and its worker, nil if it does not run.
 func (s *sim) findMember(id TaskID, n int) (*simWorker, *simRun) {
-	for _, name := range s.workerNames {
-		w := s.workers[name]
-		if r := w.runs[id]; w.up && r != nil && r.number == n {
-			return w, r
-		}
+	w := s.runWorkers[runKey{id, n}]
+	if w == nil || !w.up || w.runs[id] == nil || w.runs[id].number != n {
+		return nil, nil
 	}
-	return nil, nil
+	return w, w.runs[id]
 }
 
 // workOf returns the work of one task of a step, as its time on a worker of
@@ -193,6 +201,7 @@
 		}
 	})
 	slowest := w.speed
+	var members []*simWorker
 	for i := range step.Count {
 		id := r.id
 		id.Index = i
@@ -201,30 +210,37 @@
 			return
 		}
 		slowest = min(slowest, mw.speed)
+		members = append(members, mw)
 	}
 	runTime = time.Duration(float64(runTime) * w.speed / slowest)
+	for _, mw := range members {
+		runTime = s.untilEnd(mw, runTime)
+	}
 	s.after(runTime, func() {
-		kind := EndDone
+		kind, failed := EndDone, -1
 		if s.rng.Float64() < s.taskFailureRate {
-			kind = EndFailed
+			kind, failed = EndGangBroken, 0
 		}
 		for i := range step.Count {
 			id := r.id
 			id.Index = i
-			if _, m := s.findMember(id, r.number); m == nil {
+			switch mw, m := s.findMember(id, r.number); {
+			case m == nil:
 				kind = EndGangBroken
+			case mw.tasksFail:
+				kind, failed = EndGangBroken, i
 			}
 		}
 		for i := range step.Count {
 			id := r.id
 			id.Index = i
 			mw, m := s.findMember(id, r.number)
-			if m == nil {
-				continue
-			}
-			mw.finishRun(m, kind)
-			if kind == EndFailed {
-				kind = EndGangBroken
+			switch {
+			case m == nil:
+			case i == failed:
+				mw.finishRun(m, EndFailed)
+			default:
+				mw.finishRun(m, kind)
 			}
 		}
 	})
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -73,6 +73,7 @@
 	lastEnd        int64           // ends up to this number have been processed
 	excludedUntil  time.Time       // no task is placed on it before
 	failedJobs     map[string]bool // jobs that failed on it since a run last ended as done
+	suspectUntil   time.Time       // no gang is placed on it before, since a run failed there
 	WorkerEstimates
 	indexed        bool      // whether the engine's index contains it
 	cpuLevel       int       // its level in the index
