state/admit: when refused callers come back is decided apart from HTTP

The values stay.

Ruled out: longer delays for urgent queues.

Conclusion: no change of behaviour on the platform; the product's own interface sends what it sent.

--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -12,17 +12,13 @@
 	"github.com/julienschmidt/httprouter"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/core"
+	"github.com/tamaracklink/tamaracklink/internal/state/admit"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 	"github.com/tamaracklink/tamaracklink/internal/state/strict"
 )
 
-const (
-	maxBodyBytes = 1 << 20 // bytes of a submitted job
-	// retryAfter is the delay after which a caller should repeat a call that was
-	// not executed.
-	retryAfter = time.Second
-)
+const maxBodyBytes = 1 << 20 // bytes of a submitted job
 
 // Server serves the API to callers and operators. Both fields must be set.
 type Server struct {
@@ -169,6 +165,7 @@
 		reply.Code = codeJobNotFound
 		writeJSON(w, http.StatusNotFound, reply)
 	case errors.Is(err, core.ErrNotExecuted):
+		retryAfter := admit.RetryAfter(nil)
 		reply.Code, reply.RetryAfterMs = codeNotExecuted, retryAfter.Milliseconds()
 		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 		writeJSON(w, http.StatusServiceUnavailable, reply)
