--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -24,7 +24,7 @@
 // ciSeeds are the seeds of CI, with those that have failed once.
 var ciSeeds = []uint64{
 	1,
-	107, // a cancellation was carried out, but none of its attempts had an answer; the check took the job for lost
+	107,  // a cancellation was carried out, but none of its attempts had an answer; the check took the job for lost
 	2007, // an instance could not listen: a connection had got the port that the test had found free
 }
 
