--- a/internal/state/sched/large_load_test.go
+++ b/internal/state/sched/large_load_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -50,7 +49,7 @@
 	s.run(time.Second)
 	for queue, r := range s.runLoad(1, largeLoad(), 8*time.Second, 12*time.Second) {
 		served := float64(r.inTime) / float64(r.jobs)
-		t.Log(fmt.Sprintf("%s: %d jobs, %.2f in time, %.2f late; %d queries of %.0f s", queue, r.jobs, served, float64(r.late)/float64(r.jobs), s.queries[queue], s.querySeconds[queue]))
+		t.Logf("%s: %d jobs, %.2f in time, %.2f late; %d queries of %.0f s", queue, r.jobs, served, float64(r.late)/float64(r.jobs), s.queries[queue], s.querySeconds[queue])
 		if served < minServed {
 			t.Errorf("%.2f of the jobs of queue %q were complete in time; want at least %.2f", served, queue, minServed)
 		}
