testing/known: the tests set the flags of the toolchain

Cause: this machine's toolchain has default flags (in its go.env) with which the compiler prints lines of its own, and go test repeats them before "ok"; the test wants "ok" first.

Ruled out: the command under test; its output is right behind these lines.

Now the test sets GOFLAGS for the commands that it runs. Its checks stay.

--- a/internal/testing/known/runner_test.go
+++ b/internal/testing/known/runner_test.go
@@ -63,6 +63,8 @@
 	if testing.Short() {
 		t.Skip("runs go test")
 	}
+	// A toolchain may have flags that make the compiler print more.
+	t.Setenv("GOFLAGS", "-buildvcs=false")
 	is := is.New(t)
 	dir := t.TempDir()
 	for _, f := range txtar.Parse([]byte(module)).Files {
