--- a/internal/state/sched/mixed_load_test.go
+++ b/internal/state/sched/mixed_load_test.go
@@ -106,7 +106,8 @@
 }
 
 // runLoad submits jobs of the classes at random times for the given time, runs
-// on for drain, and returns the outcomes by queue.
+// on for drain, and returns the outcomes of the jobs that were not cancelled, by
+// queue.
 func (s *sim) runLoad(seed uint64, classes []loadClass, during, drain time.Duration) map[string]*loadResult {
 	type submitted struct {
 		class *loadClass
@@ -147,6 +148,9 @@
 	s.run(during + drain)
 	out := map[string]*loadResult{}
 	for id, j := range jobs {
+		if s.jobs[id].canceled {
+			continue
+		}
 		r := out[j.class.queue]
 		if r == nil {
 			r = &loadResult{}
