--- /dev/null
+++ b/internal/testing/ports/doc.go
@@ -0,0 +1,2 @@
+// Package ports finds ports for the listeners of programs under test.
+package ports
--- a/internal/testing/ports/ports.go
+++ b/internal/testing/ports/ports.go
@@ -1,4 +1,3 @@
-// Package ports finds ports for the listeners of programs under test.
 package ports
 
 import (
