state/sched: the load tests share their site and their check

The set-up of the site with 1,100 workers and the check of what was served stood in four tests. Bounds, seeds and loads are the same.

Conclusion: no change of what is tested.

--- a/internal/state/sched/failing_load_test.go
+++ b/internal/state/sched/failing_load_test.go
@@ -41,14 +41,8 @@
 	if testing.Short() {
 		t.Skip("simulates 20 s of a site with 1,100 workers")
 	}
-	const minServed = 0.48 // the users' target for days with trouble
 	is := is.New(t)
-	s := newSim(t, 2, 1100)
-	s.placementClients = 147
-	s.timedQueries = true
-	s.stopTime = 900 * time.Millisecond
-	s.startLeader()
-	s.run(time.Second)
+	s := newLargeSim(t, 2)
 	s.after(2*time.Second, func() {
 		for i, id := range s.workerNames {
 			if w := s.workers[id]; i%12 == 0 {
@@ -57,12 +51,6 @@
 			}
 		}
 	})
-	for queue, r := range s.runLoad(2, largeLoad(), 10*time.Second, 10*time.Second) {
-		served := float64(r.inTime) / float64(r.jobs)
-		t.Logf("%s: %d jobs, %.2f in time, %.2f late", queue, r.jobs, served, float64(r.late)/float64(r.jobs))
-		if served < minServed {
-			t.Errorf("%.2f of the jobs of queue %q were complete in time; want at least %.2f", served, queue, minServed)
-		}
-	}
+	s.checkServed(s.runLoad(2, largeLoad(), 10*time.Second, 10*time.Second), minServedInTrouble)
 	is.Equal(s.violations, nil)
 }
--- a/internal/state/sched/large_load_test.go
+++ b/internal/state/sched/large_load_test.go
@@ -39,20 +39,38 @@
 	if testing.Short() {
 		t.Skip("simulates 20 s of a site with 1,100 workers")
 	}
-	const minServed = 0.48 // the users' target for days with trouble
 	is := is.New(t)
-	s := newSim(t, 1, 1100)
+	s := newLargeSim(t, 1)
+	s.checkServed(s.runLoad(1, largeLoad(), 8*time.Second, 12*time.Second), minServedInTrouble)
+	is.Equal(s.violations, nil)
+}
+
+// minServedInTrouble is the share of the jobs of each queue that must be complete
+// within their objective: the users' target for days with trouble at this site.
+const minServedInTrouble = 0.48
+
+// newLargeSim returns a simulation of a site with 1,100 workers and 147 placement
+// clients, which has a leader.
+func newLargeSim(t *testing.T, seed uint64) *sim {
+	t.Helper()
+	s := newSim(t, seed, 1100)
 	s.placementClients = 147
 	s.timedQueries = true
 	s.stopTime = 900 * time.Millisecond
 	s.startLeader()
 	s.run(time.Second)
-	for queue, r := range s.runLoad(1, largeLoad(), 8*time.Second, 12*time.Second) {
+	return s
+}
+
+// checkServed fails the test if less than minServed of the jobs of a queue were
+// complete within their objective.
+func (s *sim) checkServed(results map[string]*loadResult, minServed float64) {
+	s.t.Helper()
+	for queue, r := range results {
 		served := float64(r.inTime) / float64(r.jobs)
-		t.Logf("%s: %d jobs, %.2f in time, %.2f late; %d queries of %.0f s", queue, r.jobs, served, float64(r.late)/float64(r.jobs), s.queries[queue], s.querySeconds[queue])
+		s.t.Logf("%s: %d jobs, %.2f in time, %.2f late; %d queries of %.0f s", queue, r.jobs, served, float64(r.late)/float64(r.jobs), s.queries[queue], s.querySeconds[queue])
 		if served < minServed {
-			t.Errorf("%.2f of the jobs of queue %q were complete in time; want at least %.2f", served, queue, minServed)
+			s.t.Errorf("%.2f of the jobs of queue %q were complete in time; want at least %.2f", served, queue, minServed)
 		}
 	}
-	is.Equal(s.violations, nil)
 }
--- a/internal/state/sched/load_patterns_test.go
+++ b/internal/state/sched/load_patterns_test.go
@@ -15,10 +15,7 @@
 	if testing.Short() {
 		t.Skip("simulates 18 s of a site with 1,100 workers for each pattern")
 	}
-	const (
-		minServed = 0.48            // the users' target for days with trouble
-		disturbAt = 3 * time.Second // after the first job
-	)
+	const disturbAt = 3 * time.Second // after the first job
 	tests := []struct {
 		name    string
 		load    func(load []loadClass)
@@ -73,12 +70,8 @@
 	for i, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			s := newSim(t, uint64(i)+3, 1100)
-			s.placementClients = 147
-			s.timedQueries, s.gangsDisturbed = true, true
-			s.stopTime = 900 * time.Millisecond
-			s.startLeader()
-			s.run(time.Second)
+			s := newLargeSim(t, uint64(i)+3)
+			s.gangsDisturbed = true
 			load := largeLoad()
 			for k := range load {
 				load[k].burst = 1
@@ -89,13 +82,7 @@
 			if tt.disturb != nil {
 				s.after(disturbAt, func() { tt.disturb(s) })
 			}
-			for queue, r := range s.runLoad(uint64(i)+3, load, 9*time.Second, 9*time.Second) {
-				served := float64(r.inTime) / float64(r.jobs)
-				t.Logf("%s: %d jobs, %.2f in time, %.2f late", queue, r.jobs, served, float64(r.late)/float64(r.jobs))
-				if served < minServed {
-					t.Errorf("%.2f of the jobs of queue %q were complete in time; want at least %.2f", served, queue, minServed)
-				}
-			}
+			s.checkServed(s.runLoad(uint64(i)+3, load, 9*time.Second, 9*time.Second), minServedInTrouble)
 			is.Equal(s.violations, nil)
 		})
 	}
--- a/internal/state/sched/mixed_load_test.go
+++ b/internal/state/sched/mixed_load_test.go
@@ -191,13 +191,7 @@
 			s.timedQueries = true
 			s.startLeader()
 			s.run(time.Second)
-			for queue, r := range s.runLoad(seed, mixedLoad(), 30*time.Second, 10*time.Second) {
-				served := float64(r.inTime) / float64(r.jobs)
-				t.Logf("%s: %d jobs, %.2f in time, %.2f late; %d queries of %.0f s", queue, r.jobs, served, float64(r.late)/float64(r.jobs), s.queries[queue], s.querySeconds[queue])
-				if served < minServed {
-					t.Errorf("%.2f of the jobs of queue %q were complete in time; want at least %.2f", served, queue, minServed)
-				}
-			}
+			s.checkServed(s.runLoad(seed, mixedLoad(), 30*time.Second, 10*time.Second), minServed)
 			is.Equal(s.violations, nil)
 		})
 	}
