coordination/ledger, intake, core: reads and appends go on when a silent store returns

Cause: a read lost in the outage was waited for until its time-out of 0.95 s, at all instances alike, since the outage begins for all at once. Appends had six attempts in flight after two seconds and made no other before the first of them timed out after four, up to 2.4 s after the store's return.

Ruled out: the processor of the replicas. They refuse up to 500 calls each second at that time, yet the reads that follow are answered within 10 ms.

Now a read without an answer is repeated beside it, 0.3 s after its wait and then each 0.2 s (each half of its wait for readers that wait longer); repeats don't wait for records and ask for 64 KiB. The first answer after such a silence makes the appends under way try again at once.

--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -14,6 +14,9 @@
 		return
 	}
 	c.readOK(now)
+	if b.AfterSilence {
+		c.retryAppends()
+	}
 	if b.Reset {
 		c.completeOffset = b.CompleteOffset
 		clear(c.earlyCancels)
@@ -34,6 +37,16 @@
 	}
 }
 
+// retryAppends makes the appends under way try again at once. Those that were
+// lost in an outage of the store get no answer, and repeats of them become rare
+// while it lasts.
+func (c *Core) retryAppends() {
+	c.intake.RetryNow()
+	if c.appending.writer != nil {
+		c.appending.writer.RetryNow()
+	}
+}
+
 // dropRemovedJobs drops the known jobs of which loaded, the newest record of each
 // key, contains no spec. They were removed by records that this instance has not
 // read. Every known job was in the ledger before the load began, so one that is
--- /dev/null
+++ b/internal/coordination/core/silent_store_test.go
@@ -0,0 +1,54 @@
+package core_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+)
+
+// TestJobsWaitAfterSilentStoreReturns guards against a site that serves nobody
+// for up to a second and more after the store answers again: its reads and
+// appends waited for the time-outs of those that were lost in the outage.
+func TestJobsWaitAfterSilentStoreReturns(t *testing.T) {
+	// maxDelay is the time from the store's return until a job that is submitted
+	// again and again has been accepted and started.
+	const maxDelay = 500 * time.Millisecond
+	for _, outage := range []time.Duration{1400, 2300, 3100, 3800} {
+		outage *= time.Millisecond
+		t.Run(outage.String(), func(t *testing.T) {
+			runSite(t, 4, func(s *site) {
+				s.is.NoErr(s.Submit("e0", s.NewJob("before", "q", tasks(6, 500))))
+				time.Sleep(time.Second)
+				s.Store.SetFault("", store.Unresponsive)
+				stop := make(chan struct{})
+				var callers sync.WaitGroup
+				for i, name := range s.InstanceNames() {
+					job := s.NewJob(fmt.Sprintf("a%d", i), "q", tasks(1, 100))
+					callers.Go(func() {
+						for s.Submit(name, job) != nil {
+							select {
+							case <-stop:
+								return
+							case <-time.After(20 * time.Millisecond):
+							}
+						}
+					})
+				}
+				time.Sleep(outage)
+				s.Store.SetFault("", store.NoFault)
+				end, started := time.Now(), s.Fleet.RunStarts()
+				for s.Fleet.RunStarts() < started+4 && time.Since(end) < 10*time.Second {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if took := time.Since(end); took > maxDelay {
+					t.Errorf("time until the jobs had started after an outage of %v: got %v, want at most %v", outage, took, maxDelay)
+				}
+				close(stop)
+				callers.Wait()
+			})
+		})
+	}
+}
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -61,7 +61,8 @@
 	sentAt       time.Time // when the append under way was sent, zero if there is none
 	lastSuccess  time.Time
 	lastFailure  time.Time
-	wake         chan struct{} // signals Run that calls wait
+	writer       *ledger.Writer // of the append under way
+	wake         chan struct{}  // signals Run that calls wait
 }
 
 type call struct {
@@ -80,7 +81,17 @@
 
 // New returns an Intake, which appends nothing until Run is called.
 func New(settings Settings) *Intake {
-	return &Intake{settings: settings, wake: make(chan struct{}, 1)}
+	n := &Intake{settings: settings, wake: make(chan struct{}, 1)}
+	n.writer = n.newWriter(0)
+	return n
+}
+
+// RetryNow makes an append under way try again at once, as the store has shown
+// that it answers.
+func (n *Intake) RetryNow() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.writer.RetryNow()
 }
 
 // Store appends the records and returns nil once they are stored. The error is
@@ -167,7 +178,7 @@
 
 // Run appends the records of waiting calls until ctx is done.
 func (n *Intake) Run(ctx context.Context) {
-	w := n.newWriter(0)
+	w := n.writer // no other goroutine replaces it
 	for generation := 1; ; {
 		select {
 		case <-ctx.Done():
@@ -187,6 +198,9 @@
 				// appends use a new producer name.
 				w = n.newWriter(generation)
 				generation++
+				n.mu.Lock()
+				n.writer = w
+				n.mu.Unlock()
 			}
 		}
 	}
--- a/internal/coordination/ledger/reader.go
+++ b/internal/coordination/ledger/reader.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 )
 
 // Timeouts of reads.
@@ -16,6 +18,12 @@
 	// newestPageTimeout suffices for a page of the largest size from a slow
 	// store.
 	newestPageTimeout = 3 * time.Second
+	// firstRepeatDelay is how long after its wait a read without an answer is
+	// repeated beside it. A read is sized to take less.
+	firstRepeatDelay = 300 * time.Millisecond
+	// minRepeatInterval is the shortest time between two repeats. For a reader
+	// whose reads wait long it is half of that wait.
+	minRepeatInterval = 200 * time.Millisecond
 )
 
 // Batch is the result of one read.
@@ -25,6 +33,7 @@
 	NextOffset     int64     // offset after Records
 	CompleteOffset int64     // only if Reset: the state is complete once the log has been read up to this offset
 	CaughtUp       bool      // the read reached the end of the log and the state is complete
+	AfterSilence   bool      // the store had left an earlier read without an answer
 	SentAt         time.Time // when the read was sent
 	Err            error     // error of the read; the other fields but SentAt are then empty
 }
@@ -44,6 +53,7 @@
 	Now func() time.Time
 
 	size    ReadSize // used by Run only
+	failing bool     // the last read failed; used by Run only
 	loading *Batch   // the pages of a load that is not complete; used by Run only
 	after   string   // the last key in loading; used by Run only
 
@@ -144,17 +154,78 @@
 	return r.Log.ReadNewest(ctx, after)
 }
 
+// read reads the log from an offset. While a read has no answer, it is repeated
+// beside it: a read that was lost in an outage gets none, although the store may
+// answer again. The repeats do not wait for records and ask for few of them. The
+// first answer counts.
 func (r *Reader) read(ctx context.Context, from int64, start time.Time) Batch {
 	timeout := r.MaxReadWait + readTimeoutMargin
 	ctx, cancel := context.WithTimeout(ctx, timeout)
+	attempts := parts.New()
+	defer attempts.Wait()
 	defer cancel()
-	page, err := r.Log.Read(ctx, from, r.size.Bytes(), r.MaxReadWait)
-	r.size.Update(page, err, r.Now().Sub(start), timeout)
-	if err != nil {
-		return Batch{Err: err, SentAt: start}
+	results := make(chan readResult, int(timeout/minRepeatInterval)+1)
+	inFlight, sent := 0, 0
+	send := func(maxBytes int, wait time.Duration) {
+		inFlight++
+		sent++
+		first, at := sent == 1, r.Now()
+		attempts.Go(func() {
+			page, err := r.Log.Read(ctx, from, maxBytes, wait)
+			results <- readResult{page: page, err: err, first: first, sentAt: at}
+		})
+	}
+	wait, repeatDelay := r.MaxReadWait, r.MaxReadWait+firstRepeatDelay
+	if r.failing {
+		wait, repeatDelay = 0, r.repeatInterval()
+	}
+	send(r.size.Bytes(), wait)
+	repeat := time.NewTimer(repeatDelay)
+	defer repeat.Stop()
+	for {
+		select {
+		case res := <-results:
+			inFlight--
+			var expired *ExpiredError
+			if res.err == nil || inFlight == 0 || errors.As(res.err, &expired) {
+				return r.finishRead(res, start, timeout)
+			}
+		case <-repeat.C:
+			send(minReadBytes, 0)
+			repeat.Reset(r.repeatInterval())
+		case <-attempts.Panicked():
+			attempts.Wait() // panics
+		}
+	}
+}
+
+// readResult is the result of one attempt of a read.
+type readResult struct {
+	page   Page
+	err    error
+	first  bool // of the attempts of its read
+	sentAt time.Time
+}
+
+func (r *Reader) repeatInterval() time.Duration { return max(minRepeatInterval, r.MaxReadWait/2) }
+
+// finishRead returns the batch of a read that began at start and updates the size
+// of the next one. The answer of a repeat tells that the read itself took too
+// long.
+func (r *Reader) finishRead(res readResult, start time.Time, timeout time.Duration) Batch {
+	silent := r.failing || !res.first
+	r.failing = res.err != nil
+	switch {
+	case res.first:
+		r.size.Update(res.page, res.err, r.Now().Sub(start), timeout)
+	default:
+		r.size.Update(Page{}, errNoAnswerYet, timeout, timeout)
+	}
+	if res.err != nil {
+		return Batch{Err: res.err, SentAt: start}
 	}
-	next := page.FirstOffset + int64(len(page.Records))
-	return Batch{Records: page.Records, NextOffset: next, CaughtUp: next >= page.LogEnd, SentAt: start}
+	next := res.page.FirstOffset + int64(len(res.page.Records))
+	return Batch{Records: res.page.Records, NextOffset: next, CaughtUp: next >= res.page.LogEnd, AfterSilence: silent, SentAt: res.sentAt}
 }
 
 // notifyCaughtUp wakes the callers of Sync after a batch that reached the end
--- a/internal/coordination/ledger/writer.go
+++ b/internal/coordination/ledger/writer.go
@@ -30,6 +30,8 @@
 	// maxAttemptsInFlight limits the attempts without an answer. An attempt is not
 	// cancelled before its timeout, since its answer would then be lost.
 	maxAttemptsInFlight = 6
+	// maxExtraAttempts is how many more there may be after RetryNow.
+	maxExtraAttempts = 3
 	// attemptTimeout ends an attempt, since its connection may be dead.
 	attemptTimeout = 4 * time.Second
 	// minRetryDelay is the first delay after a failed attempt; further delays
@@ -48,6 +50,7 @@
 	seq               int64         // sequence number of the last append that succeeded
 	averageAnswerTime time.Duration // moving average
 	now               func() time.Time
+	retry             chan struct{} // signals Append to make another attempt
 
 	// OnUnanswered is called when an attempt ends without a known outcome, and
 	// before each further attempt of the same append. tries is the number of
@@ -57,7 +60,16 @@
 
 // NewWriter returns a Writer whose first append has sequence number seq+1.
 func NewWriter(log Log, p Producer, seq int64, now func() time.Time) *Writer {
-	return &Writer{log: log, producer: p, seq: seq, now: now, OnUnanswered: func(error, int) {}}
+	return &Writer{log: log, producer: p, seq: seq, now: now, retry: make(chan struct{}, 1), OnUnanswered: func(error, int) {}}
+}
+
+// RetryNow makes an append under way try again at once, as the store has shown
+// that it answers. It may be called at any time by any goroutine.
+func (w *Writer) RetryNow() {
+	select {
+	case w.retry <- struct{}{}:
+	default:
+	}
 }
 
 // attemptResult is the result of one attempt of an append.
@@ -78,10 +90,14 @@
 	attempts := parts.New()
 	defer attempts.Wait()
 	defer cancel()
-	results := make(chan attemptResult, maxAttemptsInFlight)
+	results := make(chan attemptResult, maxAttemptsInFlight+maxExtraAttempts)
 	retryDelay := backoff.NewExponentialBackOff()
 	retryDelay.InitialInterval, retryDelay.MaxInterval, retryDelay.MaxElapsedTime = minRetryDelay, maxRetryDelay, 0
 	sent, inFlight, outcomesUnknown := 0, 0, 0
+	select {
+	case <-w.retry: // meant for an earlier append
+	default:
+	}
 	send := func() {
 		sent++
 		inFlight++
@@ -119,6 +135,11 @@
 			}
 			hedgeDelay = min(maxHedgeDelay, time.Duration(hedgeDelayGrowth*float64(hedgeDelay)))
 			nextAttempt.Reset(hedgeDelay)
+		case <-w.retry:
+			if inFlight < maxAttemptsInFlight+maxExtraAttempts {
+				w.OnUnanswered(errNoAnswerYet, sent)
+				send()
+			}
 		case <-attempts.Panicked():
 			attempts.Wait() // panics
 		case <-callerCtx.Done():
