state/roles, coordination/core: replicas that are not ready are not replaced at once

Cause: a probe told "not ready" and "no answer" apart from "ready" by one bool. A replica that has lost the store, or is loading the ledger over its link, answers that it is not ready, was taken for silent after three probes, and was replaced a second later, by an instance that had no store either or slowed the load further.

Ruled out: replicas that really were gone; no process ended in the first outage (18.0 to 22.2).

Now only probes without an answer make a replica silent. One that answers that it is not ready is replaced after 10 s, which covers the outages and loads seen (4.2 s, 6 to 8 s), and an instance that can't read the store itself replaces none.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -141,7 +141,7 @@
 	c := &Core{
 		settings: settings, index: flow.NewIndex(), events: make(chan func(time.Time), 1024), done: make(chan struct{}), registering: make(chan struct{}, 1),
 		jobs: map[string]*flow.Job{}, members: map[string]instanceRecord{}, earlyCancels: map[string]bool{}, completeOffset: -1, parts: parts.New(),
-		role: roleState{failedProbes: map[string]int{}},
+		role: roleState{failedProbes: map[string]int{}, unreadySince: map[string]time.Time{}},
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.election.lastContact = settings.Now()
--- a/internal/coordination/core/directory.go
+++ b/internal/coordination/core/directory.go
@@ -22,8 +22,8 @@
 	replicaProbeInterval = time.Second
 	// failedProbeInterval is the same while any replica has failed its last call.
 	failedProbeInterval = 200 * time.Millisecond
-	// silentProbes is the number of failed probes in a row after which a replica
-	// counts as silent. A restart of its process takes about a second.
+	// silentProbes is the number of probes in a row without an answer after which
+	// a replica counts as silent. A restart of its process takes about a second.
 	silentProbes = 3
 )
 
@@ -33,7 +33,10 @@
 	loaded       bool           // the directory has been read to its end
 	missingSince time.Time      // since when its failure domain lacks replicas, zero if it doesn't
 	resume       bool           // this instance's last incarnation was a replica
-	failedProbes map[string]int // failed probes in a row, by replica
+	failedProbes map[string]int // probes in a row without an answer, by replica
+	// unreadySince is when a replica first answered that it is not ready, by name
+	// of those that did so at their last probe.
+	unreadySince map[string]time.Time
 	probing      bool
 	nextProbeAt  time.Time
 	turn         int // selects the replica to probe
@@ -61,7 +64,7 @@
 			c.role.resume = in.Replica
 		}
 		if c.members[name].Incarnation != in.Incarnation {
-			delete(c.role.failedProbes, name)
+			c.role.notePresence(name)
 			c.replicas.forget(in.Addr)
 		}
 		c.members[name] = in
@@ -101,7 +104,11 @@
 		return
 	}
 	c.stepReplicaProbes(now)
-	missing, rank := roles.Need(c.settings.Instance, c.knownInstances())
+	if !c.readable.Load() {
+		r.missingSince = time.Time{} // it could not read the ledger either
+		return
+	}
+	missing, rank := roles.Need(c.settings.Instance, c.knownInstances(now))
 	switch {
 	case missing == 0:
 		r.missingSince, r.resume = time.Time{}, false
@@ -119,17 +126,43 @@
 
 // knownInstances returns the registered instances, with this instance's view of
 // them.
-func (c *Core) knownInstances() []roles.Instance {
+func (c *Core) knownInstances(now time.Time) []roles.Instance {
 	all := make([]roles.Instance, 0, len(c.members))
 	for name, m := range c.members {
-		all = append(all, roles.Instance{
+		in := roles.Instance{
 			Name: name, Domain: m.Domain, Cores: m.Cores, LinkMbps: m.LinkMbps, Replica: m.Replica,
 			Silent: c.role.failedProbes[name] >= silentProbes,
-		})
+		}
+		if since, ok := c.role.unreadySince[name]; ok {
+			in.Unready = now.Sub(since)
+		}
+		all = append(all, in)
 	}
 	return all
 }
 
+// noteProbe records the result of a probe of a replica.
+func (r *roleState) noteProbe(now time.Time, name string, ready bool, err error) {
+	switch {
+	case err != nil:
+		r.failedProbes[name]++
+	case ready:
+		r.notePresence(name)
+	default:
+		delete(r.failedProbes, name)
+		if _, ok := r.unreadySince[name]; !ok {
+			r.unreadySince[name] = now
+		}
+	}
+}
+
+// notePresence forgets the failed probes of an instance that is ready, or has
+// registered a new process.
+func (r *roleState) notePresence(name string) {
+	delete(r.failedProbes, name)
+	delete(r.unreadySince, name)
+}
+
 // becomeReplica makes this instance read the ledger, and registers it as a
 // replica.
 func (c *Core) becomeReplica(why string) {
@@ -164,15 +197,11 @@
 	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
-		ok := c.settings.Peers.Ready(ctx, addr)
-		c.replicas.note(addr, ok, c.settings.Now())
-		c.post(func(time.Time) {
+		ready, err := c.settings.Peers.Ready(ctx, addr)
+		c.replicas.note(addr, ready && err == nil, c.settings.Now())
+		c.post(func(now time.Time) {
 			r.probing = false
-			if ok {
-				delete(r.failedProbes, name)
-			} else {
-				r.failedProbes[name]++
-			}
+			r.noteProbe(now, name, ready, err)
 		})
 	})
 }
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -280,7 +280,8 @@
 	} else if peers != nil {
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
-		ok = c.settings.Peers.Ready(ctx, (*peers)[name].Addr)
+		ready, err := c.settings.Peers.Ready(ctx, (*peers)[name].Addr)
+		ok = ready && err == nil
 	}
 	c.post(func(now time.Time) { c.ifLeading(term, func() { c.engine.HandleProbeResult(now, name, ok) }) })
 }
--- a/internal/coordination/core/machine.go
+++ b/internal/coordination/core/machine.go
@@ -86,7 +86,7 @@
 	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
-		if !c.settings.Peers.Ready(ctx, addr) {
+		if ready, err := c.settings.Peers.Ready(ctx, addr); !ready || err != nil {
 			return
 		}
 		c.post(func(time.Time) {
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -18,8 +18,9 @@
 	Status func(ctx context.Context, addr, id string) (flow.Status, error)
 	// Pending returns the number of pending jobs of a queue.
 	Pending func(ctx context.Context, addr, queue string) (int, error)
-	// Ready reports whether the instance answers and can serve callers now.
-	Ready func(ctx context.Context, addr string) bool
+	// Ready reports whether the instance can serve callers now. The error is that
+	// of a call without an answer.
+	Ready func(ctx context.Context, addr string) (bool, error)
 }
 
 // Limits of forwarding calls to peers.
@@ -182,7 +183,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	ready := c.settings.Peers.Ready(ctx, addr)
+	ready, err := c.settings.Peers.Ready(ctx, addr)
+	ready = ready && err == nil
 	c.peerProbes.Store(addr, peerProbe{at: c.settings.Now(), ready: ready})
 	return ready
 }
--- a/internal/coordination/core/peers_test.go
+++ b/internal/coordination/core/peers_test.go
@@ -23,7 +23,7 @@
 			now, readyAddr := time.Unix(1_800_000_000, 0), fmt.Sprint("p", ready)
 			c := New(Settings{
 				Instance: "own", Domain: "d0", Addr: "own", Now: func() time.Time { return now },
-				Peers:  PeerCalls{Ready: func(_ context.Context, addr string) bool { return addr == readyAddr }},
+				Peers:  PeerCalls{Ready: func(_ context.Context, addr string) (bool, error) { return addr == readyAddr, nil }},
 				Logger: zerolog.Nop(), Meter: meter.New(),
 			})
 			peers := map[string]instanceRecord{}
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -170,10 +170,14 @@
 	return int(reply.GetJobs()), errs.At("ask for a queue's pending jobs", addr, err)
 }
 
-// Ready reports whether the instance at addr answers that it can store calls.
-func (c *Client) Ready(ctx context.Context, addr string) bool {
+// Ready reports whether the instance at addr can store calls. The error is that of
+// a call without an answer.
+func (c *Client) Ready(ctx context.Context, addr string) (bool, error) {
 	reply, err := c.client(addr).Ready(ctx, &cellpb.ReadyRequest{})
-	return err == nil && reply.Ready
+	if err != nil {
+		return false, errs.At("probe", addr, err)
+	}
+	return reply.Ready, nil
 }
 
 // fromOutcome returns the status and the error of package core that an outcome
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -232,9 +232,12 @@
 			}
 			return 0, core.ErrNotExecuted
 		},
-		Ready: func(_ context.Context, addr string) bool {
+		Ready: func(_ context.Context, addr string) (bool, error) {
 			c := s.reachableCore(addr)
-			return c != nil && c.Ready()
+			if c == nil {
+				return false, errPeerUnreachable
+			}
+			return c.Ready(), nil
 		},
 	}
 }
--- a/internal/state/roles/roles.go
+++ b/internal/state/roles/roles.go
@@ -18,6 +18,11 @@
 	// escalationInterval is how long each further candidate waits for those
 	// before it, which may have ended.
 	escalationInterval = time.Second
+	// maxUnready is how long a replica may answer that it is not ready before it
+	// is replaced. It covers an outage of the store, in which no other instance
+	// would do better, and a load of the ledger over a small link, which another
+	// one would only slow down.
+	maxUnready = 10 * time.Second
 )
 
 // Instance is what an instance knows of one of the site's instances.
@@ -28,8 +33,13 @@
 	LinkMbps float64 // bandwidth of its machine's link
 	Replica  bool    // it has registered as a replica
 	Silent   bool    // it leaves calls of the deciding instance unanswered
+	// Unready is for how long it has answered that it is not ready, 0 if it is.
+	Unready time.Duration
 }
 
+// lost reports whether another instance is to take the replica's place.
+func (i *Instance) lost() bool { return i.Silent || i.Unready > maxUnready }
+
 // better reports whether i is the better replica of the two.
 func (i *Instance) better(o *Instance) bool {
 	switch {
@@ -60,7 +70,7 @@
 	for i := range all {
 		o := &all[i]
 		switch {
-		case o.Domain != own.Domain || o == own || o.Silent:
+		case o.Domain != own.Domain || o == own || o.lost():
 		case o.Replica:
 			missing--
 		case o.better(own):
