coordination/core: replicas of an instance's own failure domain are probed in turn

What was seen: TestOutageMakesEveryInstanceAReplica passed when it was written and failed once in the next run (13 replicas instead of 12 in "store silent"); so the fault was not quite mended.

Cause: of the replicas that had failed their last call only every second probe went to one, of all failure domains in turn, one each 0.4 s. With twelve of them a replica of the own domain, which alone counts for a replacement, could stay unprobed through the 3 s between two outages, and counted as not ready for the 14 s from the first to the second.

Ruled out: a probe that fails by itself; the log of the failing run shows none.

Now replicas of the own domain get every second probe at least.

--- a/internal/coordination/core/directory.go
+++ b/internal/coordination/core/directory.go
@@ -207,32 +207,38 @@
 }
 
 // nextReplicaProbe returns the replica to probe in the given turn, or "" if
-// there is none, and whether any replica has failed its last call. Failed ones
-// get every second turn; the others are those of this failure domain, or of all
-// if it has none.
+// there is none, and whether any replica has failed its last call. The replicas
+// of this failure domain, or all if it has none, are probed in turn. Others that
+// have failed their last call get every second turn.
 func (c *Core) nextReplicaProbe(turn int) (name string, failed bool) {
-	var failing, answering, remote []string
+	var local, remote, failing []string
 	for _, name := range c.replicaNames() {
-		switch m := c.members[name]; {
+		m := c.members[name]
+		failed = failed || c.replicas.failing(m.Addr)
+		switch {
+		case m.Domain == c.settings.Domain:
+			local = append(local, name)
 		case c.replicas.failing(m.Addr):
 			failing = append(failing, name)
-		case m.Domain == c.settings.Domain:
-			answering = append(answering, name)
+			remote = append(remote, name)
 		default:
 			remote = append(remote, name)
 		}
 	}
-	if len(answering) == 0 {
-		answering = remote
+	list := local
+	if len(local) == 0 {
+		list = remote
 	}
-	list := answering
-	if len(failing) > 0 && (turn%2 == 1 || len(answering) == 0) {
-		list = failing
+	if len(failing) > 0 {
+		if turn%2 == 1 {
+			list = failing
+		}
+		turn /= 2
 	}
 	if len(list) == 0 {
 		return "", false
 	}
-	return list[turn/2%len(list)], len(failing) > 0
+	return list[turn%len(list)], failed
 }
 
 // register stores the record by which peers find this instance, at the start
