coordination/core: an instance outside the replicas appends only if the store answers

Cause: if all replicas refuse a job, the instance that took it appends it itself while its own last read succeeded.

Ruled out: the replicas' own appends. One per replica is under way when the store goes silent, and calls that wait for the next one are refused.

--- a/internal/coordination/core/replicas.go
+++ b/internal/coordination/core/replicas.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 )
 
@@ -138,10 +139,11 @@
 }
 
 // submitThroughReplica submits a job through a replica, which appends it
-// together with others. If none answers, this instance appends it.
+// together with others. If none carries it out and the store answers this
+// instance, it appends the job itself.
 func (c *Core) submitThroughReplica(ctx context.Context, s *flow.Spec) error {
 	err := c.callReplica(ctx, "submit", s.ID, func(ctx context.Context, addr string) error { return c.settings.Peers.Submit(ctx, addr, s) })
-	if !errors.Is(err, ErrNotExecuted) && !errors.Is(err, ErrOutcomeUnknown) || !c.storeHealthy() {
+	if !errors.Is(err, ErrNotExecuted) && !errors.Is(err, ErrOutcomeUnknown) || !c.storeAnswers(ctx) {
 		return err
 	}
 	if own := c.Submit(ctx, s); own == nil || errors.Is(err, ErrNotExecuted) {
@@ -150,6 +152,20 @@
 	return err
 }
 
+// storeAnswers reports whether the store answers this instance now. Its last
+// successful read may be seconds old, and an append without an answer leaves the
+// caller with an unknown outcome.
+func (c *Core) storeAnswers(ctx context.Context) bool {
+	if !c.storeHealthy() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := c.settings.Log.Read(ctx, 0, 1, 0)
+	var expired *ledger.ExpiredError
+	return err == nil || errors.As(err, &expired)
+}
+
 // statusThroughReplica returns a job's status as a replica knows it.
 func (c *Core) statusThroughReplica(ctx context.Context, id string) (st flow.Status, err error) {
 	err = c.callReplica(ctx, "status", id, func(ctx context.Context, addr string) error {
--- a/internal/coordination/core/silent_store_test.go
+++ b/internal/coordination/core/silent_store_test.go
@@ -1,11 +1,13 @@
 package core_test
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/tamaracklink/tamaracklink/internal/coordination/core"
 	"github.com/tamaracklink/tamaracklink/internal/standin/store"
 )
 
@@ -52,3 +54,38 @@
 		})
 	}
 }
+
+// TestOutcomesAreUnknownWhileStoreIsSilent guards against instances that append a
+// job themselves because the replicas refuse it, although the store does not
+// answer them either. Their callers are left with an unknown outcome instead of a
+// refusal, after which they could try again.
+func TestOutcomesAreUnknownWhileStoreIsSilent(t *testing.T) {
+	runSite(t, 0, func(s *site) {
+		s.startDomains(10)
+		s.Store.SetFault("", store.Unresponsive)
+		for i, name := range s.InstanceNames() {
+			if s.Core(name).IsReplica() {
+				// An append of each replica has no answer from now on.
+				go s.Submit(name, s.NewJob(fmt.Sprintf("first%02d", i), "q", tasks(1, 100)))
+			}
+		}
+		time.Sleep(time.Second)
+		refused, unknown := 0, 0
+		for i, name := range s.InstanceNames() {
+			if s.Core(name).IsReplica() {
+				continue
+			}
+			switch err := s.Submit(name, s.NewJob(fmt.Sprintf("job%02d", i), "q", tasks(1, 100))); {
+			case errors.Is(err, core.ErrOutcomeUnknown):
+				unknown++
+			case errors.Is(err, core.ErrNotExecuted):
+				refused++
+			}
+		}
+		s.Store.SetFault("", store.NoFault)
+		if unknown > 0 || refused == 0 {
+			t.Errorf("got %d refusals and %d unknown outcomes; want refusals only", refused, unknown)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
