state/admit, coordination/core: calls that all replicas refuse are refused untried

What callers saw: while the store is away an instance outside the replicas tries each call at four of them.

Cause: each call was tried without regard to how the calls before it ended.

Ruled out: fewer tries for each call. One replica of the own domain may be cut off alone, and the call is then served by the second or third.

Now, after four tries in a row in vain, calls are refused at once, but for one trial each 0.1 s at one replica. The first try that succeeds ends this. The decision is state/admit.Breaker, a function of the time and the outcomes.

--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -63,7 +63,8 @@
 // SubmitOrForward submits one. The errors are those of Cancel.
 func (c *Core) CancelOrForward(ctx context.Context, id string) error {
 	if !c.answering.Load() {
-		return c.callReplica(ctx, "cancel", id, func(ctx context.Context, addr string) error { return c.settings.Peers.Cancel(ctx, addr, id) })
+		_, err := c.storeThroughReplica(ctx, "cancel", id, func(ctx context.Context, addr string) error { return c.settings.Peers.Cancel(ctx, addr, id) })
+		return err
 	}
 	err := ErrNotExecuted
 	if c.storeHealthy() {
--- a/internal/coordination/core/replicas.go
+++ b/internal/coordination/core/replicas.go
@@ -9,12 +9,12 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
+	"github.com/tamaracklink/tamaracklink/internal/state/admit"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 )
 
 // Limits of calls to replicas by an instance that is none.
 const (
-	maxReplicaTries = 4
 	// replicaTimeout is how long one replica may take. Callers wait three
 	// seconds.
 	replicaTimeout = 900 * time.Millisecond
@@ -29,6 +29,21 @@
 	mu         sync.Mutex      // guards the fields below
 	failed     map[string]bool // replicas whose last call or probe failed, by address
 	answeredAt time.Time       // of any replica
+	breaker    admit.Breaker   // of calls that need the store
+}
+
+// tries returns at how many replicas a call that needs the store may be tried.
+func (r *replicaCalls) tries(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.breaker.Tries(now)
+}
+
+// noteTry records whether a replica has carried out a call that needs the store.
+func (r *replicaCalls) noteTry(ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breaker.Note(ok)
 }
 
 // note records whether a replica has answered.
@@ -108,23 +123,45 @@
 		return a.hash < b.hash
 	})
 	var addrs []string
-	for _, t := range list[:min(maxReplicaTries, len(list))] {
+	for _, t := range list[:min(admit.MaxTries, len(list))] {
 		addrs = append(addrs, t.addr)
 	}
 	return addrs
 }
 
-// callReplica makes a call at one replica after another until one carries it
-// out or knows that it can't be. A repeated call does no harm, since all calls
-// are idempotent by job ID. If none does, it returns ErrOutcomeUnknown if the
-// outcome of any call is unknown, and else ErrNotExecuted.
-func (c *Core) callReplica(ctx context.Context, operation, id string, call func(ctx context.Context, addr string) error) error {
+// storeThroughReplica makes a call that needs the store, as callReplica does. While
+// all replicas refuse such calls, most are refused without being tried.
+func (c *Core) storeThroughReplica(ctx context.Context, operation, id string, call func(ctx context.Context, addr string) error) (tried bool, err error) {
+	tries := c.replicas.tries(c.settings.Now())
+	if tries == 0 {
+		c.settings.Meter.Count("refused_untried", "call", operation, 1)
+		return false, ErrNotExecuted
+	}
+	return true, c.callReplica(ctx, operation, id, tries, func(ctx context.Context, addr string) error {
+		err := call(ctx, addr)
+		c.replicas.noteTry(!notDone(err))
+		return err
+	})
+}
+
+// notDone reports whether a call was not carried out, as far as is known, for a
+// reason that another instance may not have.
+func notDone(err error) bool {
+	return errors.Is(err, ErrNotExecuted) || errors.Is(err, ErrOutcomeUnknown)
+}
+
+// callReplica makes a call at one replica after another, at most at the given
+// number, until one carries it out or knows that it can't be. A repeated call does
+// no harm, since all calls are idempotent by job ID. If none does, it returns
+// ErrOutcomeUnknown if the outcome of any call is unknown, and else ErrNotExecuted.
+func (c *Core) callReplica(ctx context.Context, operation, id string, tries int, call func(ctx context.Context, addr string) error) error {
 	unknown := false
-	for _, addr := range c.replicaTargets() {
+	targets := c.replicaTargets()
+	for _, addr := range targets[:min(tries, len(targets))] {
 		ctx, cancel := context.WithTimeout(ctx, replicaTimeout)
 		err := call(ctx, addr)
 		cancel()
-		failed := errors.Is(err, ErrNotExecuted) || errors.Is(err, ErrOutcomeUnknown)
+		failed := notDone(err)
 		c.replicas.note(addr, !failed, c.settings.Now())
 		if !failed {
 			return err
@@ -142,11 +179,13 @@
 // together with others. If none carries it out and the store answers this
 // instance, it appends the job itself.
 func (c *Core) submitThroughReplica(ctx context.Context, s *flow.Spec) error {
-	err := c.callReplica(ctx, "submit", s.ID, func(ctx context.Context, addr string) error { return c.settings.Peers.Submit(ctx, addr, s) })
-	if !errors.Is(err, ErrNotExecuted) && !errors.Is(err, ErrOutcomeUnknown) || !c.storeAnswers(ctx) {
+	tried, err := c.storeThroughReplica(ctx, "submit", s.ID, func(ctx context.Context, addr string) error { return c.settings.Peers.Submit(ctx, addr, s) })
+	if !notDone(err) || !tried || !c.storeAnswers(ctx) {
 		return err
 	}
-	if own := c.Submit(ctx, s); own == nil || errors.Is(err, ErrNotExecuted) {
+	own := c.Submit(ctx, s)
+	c.replicas.noteTry(own == nil)
+	if own == nil || errors.Is(err, ErrNotExecuted) {
 		return own
 	}
 	return err
@@ -168,7 +207,7 @@
 
 // statusThroughReplica returns a job's status as a replica knows it.
 func (c *Core) statusThroughReplica(ctx context.Context, id string) (st flow.Status, err error) {
-	err = c.callReplica(ctx, "status", id, func(ctx context.Context, addr string) error {
+	err = c.callReplica(ctx, "status", id, admit.MaxTries, func(ctx context.Context, addr string) error {
 		var err error
 		st, err = c.settings.Peers.Status(ctx, addr, id)
 		return err
@@ -182,7 +221,7 @@
 	if c.answering.Load() {
 		return c.PendingJobs(queue)
 	}
-	err = c.callReplica(ctx, "pending", "", func(ctx context.Context, addr string) error {
+	err = c.callReplica(ctx, "pending", "", admit.MaxTries, func(ctx context.Context, addr string) error {
 		var err error
 		n, err = c.settings.Peers.Pending(ctx, addr, queue)
 		return err
--- a/internal/coordination/core/silent_store_test.go
+++ b/internal/coordination/core/silent_store_test.go
@@ -89,3 +89,44 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestOutageMultipliesCallsToReplicas guards against instances that try each call
+// at several replicas although all of them refuse calls.
+func TestOutageMultipliesCallsToReplicas(t *testing.T) {
+	const (
+		outage           = 4 * time.Second
+		callInterval     = 20 * time.Millisecond // of the callers of one instance
+		maxPerSecond     = 12                    // calls of one instance to replicas
+		maxRefusalsAfter = 300 * time.Millisecond
+	)
+	runSite(t, 0, func(s *site) {
+		s.startDomains(10)
+		var outside []string
+		for _, name := range s.InstanceNames() {
+			if !s.Core(name).IsReplica() {
+				outside = append(outside, name)
+			}
+		}
+		s.Store.SetFault("", store.Refusing)
+		time.Sleep(time.Second)
+		before := s.PeerSubmits()
+		jobs := 0
+		for end := time.Now().Add(outage); time.Now().Before(end); time.Sleep(callInterval) {
+			for _, name := range outside {
+				jobs++
+				go s.Submit(name, s.NewJob(fmt.Sprintf("job%04d", jobs), "q", tasks(1, 100)))
+			}
+		}
+		if n, most := s.PeerSubmits()-before, int(maxPerSecond*outage.Seconds())*len(outside); n > most {
+			t.Errorf("got %d calls to replicas for %d jobs; want at most %d", n, jobs, most)
+		}
+		s.Store.SetFault("", store.NoFault)
+		time.Sleep(maxRefusalsAfter)
+		for i, name := range outside {
+			if err := s.Submit(name, s.NewJob(fmt.Sprintf("after%02d", i), "q", tasks(1, 100))); err != nil {
+				t.Errorf("instance %s: submit %v after the outage: %v", name, maxRefusalsAfter, err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -60,6 +61,7 @@
 	instances    map[string]*instance   // with a running process
 	specs        map[string]*flow.Spec  // by job ID
 	unresponsive map[string]bool        // instances that do not answer their peers
+	peerSubmits  atomic.Int64           // submissions that instances passed to a peer
 
 	machines map[string]core.Machine // by instance, from its next start on
 }
@@ -128,6 +130,9 @@
 	}()
 }
 
+// PeerSubmits returns the number of jobs that instances have passed to a peer.
+func (s *Site) PeerSubmits() int { return int(s.peerSubmits.Load()) }
+
 // SetMachine sets the machine that an instance runs on from its next start.
 func (s *Site) SetMachine(name string, m core.Machine) {
 	s.mu.Lock()
@@ -209,6 +214,7 @@
 func (s *Site) peerCalls() core.PeerCalls {
 	return core.PeerCalls{
 		Submit: func(ctx context.Context, addr string, spec *flow.Spec) error {
+			s.peerSubmits.Add(1)
 			if c := s.reachableCore(addr); c != nil {
 				return c.Submit(ctx, spec)
 			}
--- a/internal/state/admit/doc.go
+++ b/internal/state/admit/doc.go
@@ -1,3 +1,3 @@
-// Package admit decides what callers are told whose call was not carried out.
-// It has no state and does no input or output.
+// Package admit decides which calls are refused, and what their callers are told.
+// It does no input or output.
 package admit
