state/sched: batch steps with time left leave room to waiting gangs

Cause: a gang starts when all its tasks fit on the quarter of the workers that may run it. Each hole is filled at once by the next task of a batch job. One gang at a time has a partial reservation, on the workers that are known to be allowed.

Ruled out: fragmentation by the order of workers.

Now, while more gangs than reserve partially wait for room within their objective, steps of a lower priority backfill: while the time left is over 2.5 times their remaining work they use only what is left on a worker beside as many tasks of the waiting gangs as fit there.

--- /dev/null
+++ b/internal/state/sched/backfill.go
@@ -0,0 +1,60 @@
+package sched
+
+import "time"
+
+// Limits of the room that is left to waiting gangs.
+const (
+	// backfillTimeFactor is how many times the remaining work of a step's job must
+	// fit into the time until its objective for the step to leave room to gangs. The
+	// step still has to be queried for, and may meet slow workers.
+	backfillTimeFactor = 2.5
+	// roomDemandTTL is how long a gang counts as waiting for room after a pass found
+	// none for it. A long backlog is evaluated in turn.
+	roomDemandTTL = 500 * time.Millisecond
+)
+
+// roomDemand is the room that gangs wait for.
+type roomDemand struct {
+	gangs    int   // gangs within their objective that lack room
+	priority int   // the most urgent one's
+	taskCPU  int64 // of the smallest task of these gangs, in thousandths of a core
+}
+
+// findRoomDemand returns what the gangs among the pending steps wait for.
+func (e *Engine) findRoomDemand(now time.Time, pending []pendingStep) roomDemand {
+	var d roomDemand
+	for _, ps := range pending {
+		st := &ps.job.Steps[ps.step]
+		if !st.Gang || ps.lateness > 0 || taskSize(st).CPU == 0 {
+			continue
+		}
+		sp := ps.job.stepPlacement(ps.round.Number, ps.step)
+		if len(sp.queriedBy) > 0 || now.Sub(sp.lackedRoomAt) > roomDemandTTL {
+			continue
+		}
+		if d.gangs == 0 || ps.priority < d.priority {
+			d.priority = ps.priority
+		}
+		if d.gangs == 0 || taskSize(st).CPU < d.taskCPU {
+			d.taskCPU = taskSize(st).CPU
+		}
+		d.gangs++
+	}
+	return d
+}
+
+// mayOnlyBackfill reports whether a step has to leave the room that gangs wait
+// for. It may still use what their tasks can't.
+//
+// It answers a burst of gangs beside batch jobs: each hole that a task leaves is
+// smaller than a gang, and the tasks of batch jobs, though of a lower priority,
+// fill it at once. These are all in time then, with most of their time to spare,
+// while the gangs are late. A single gang is served by its partial reservation.
+func (e *Engine) mayOnlyBackfill(now time.Time, ps pendingStep, d roomDemand) bool {
+	if d.gangs <= maxPartialReservations || ps.priority <= d.priority || ps.lateness > 0 || ps.job.objectiveMs <= 0 {
+		return false
+	}
+	since := max(ps.job.AcceptedMs, ps.job.EarliestStartMs(ps.round.Number))
+	left := since + ps.job.objectiveMs - now.UnixMilli()
+	return float64(left) > backfillTimeFactor*float64(ps.job.remainingMs[ps.step])
+}
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -31,6 +31,7 @@
 	candidates     map[*worker]*candidate // by worker, of those visited so far; nil for an unusable worker
 	lowestPriority int                    // the lowest priority (highest number) of any queue or pending step
 	stepsEvaluated int                    // steps for which workers were evaluated
+	roomDemand     roomDemand             // of gangs
 	searchPause    time.Duration          // pause of a step after a search for workers to query that found none
 }
 
@@ -86,6 +87,9 @@
 		maxFit = min(maxFit, st.MaxPerWorker-countPlaced(ps, c.worker))
 	}
 	c.available = c.free.Sub(e.reservedForOthers(p.now, c.worker, ps))
+	if ps.backfills && c.available.CPU > 0 {
+		c.available.CPU %= p.roomDemand.taskCPU
+	}
 	c.fit, c.preemptFit, c.stepRank = fitCount(c.available, size, maxFit), 0, c.rank
 	if st.DataRack != "" && c.worker.Rack != st.DataRack {
 		c.stepRank += remoteDataPenalty
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -100,6 +100,7 @@
 	placements     map[int]map[int]*stepPlacement // by round and step
 	runs           map[TaskID]*run                // runs that are not known to have ended
 	objectiveMs    int64
+	remainingMs    []int64                  // by step, the longest chain of estimates from it on
 	blockedUntil   time.Time                // no start before; the retry pause after a refused start
 	startable      map[stepKey]stepProgress // steps of open rounds that have become startable
 }
@@ -136,7 +137,7 @@
 		return
 	}
 	j := &job{Job: fj, publishedState: fj.State, addedAt: now, seq: e.jobsAdded, placements: map[int]map[int]*stepPlacement{}, runs: map[TaskID]*run{}}
-	j.objectiveMs = objective(fj.Spec)
+	j.objectiveMs, j.remainingMs = objective(fj.Spec), remainingWork(fj.Spec)
 	e.jobsAdded++
 	e.jobs[fj.ID] = j
 	for _, r := range fj.Progress.Rounds {
@@ -180,6 +181,19 @@
 	return int64(spec.Policy.Stretch*float64(longest)) + spec.Policy.SlackMs
 }
 
+// remainingWork returns, for each step, the longest chain of estimates from the
+// step on, in ms.
+func remainingWork(spec *flow.Spec) []int64 {
+	remaining := make([]int64, len(spec.Steps))
+	for i := len(spec.Steps) - 1; i >= 0; i-- {
+		remaining[i] += spec.Steps[i].EstimateMs
+		for _, dependency := range spec.Steps[i].After {
+			remaining[dependency] = max(remaining[dependency], remaining[i])
+		}
+	}
+	return remaining
+}
+
 // Cancel marks a job as cancelled on request and, unless it has ended, ends it
 // and stops its runs. It does nothing if the job is unknown.
 func (e *Engine) Cancel(now time.Time, id string) {
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -55,6 +55,7 @@
 	for _, ps := range pending {
 		p.lowestPriority = max(p.lowestPriority, ps.priority)
 	}
+	p.roomDemand = e.findRoomDemand(now, pending)
 	for i := range e.config.Queues {
 		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
 	}
@@ -68,6 +69,7 @@
 		if p.stepsEvaluated >= limit {
 			return i
 		}
+		ps.backfills = e.mayOnlyBackfill(p.now, ps, p.roomDemand)
 		// Capacity is reserved for a gang before any of its tasks fits, and runs may
 		// be preempted for a step that is not of the lowest priority.
 		st := &ps.job.Steps[ps.step]
@@ -127,6 +129,7 @@
 	idleTasks []int // indexes of the tasks that may start
 	lateness  int   // 0 within its objective, 1 late, 2 too late to be useful
 	priority  int   // of its queue; 0 is the most urgent
+	backfills bool  // it may use only what waiting gangs can't
 }
 
 // maxLateFactor is the age, as a multiple of the objective, beyond which a
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -124,6 +124,7 @@
 		fit += c.fit + c.preemptFit
 	}
 	if fit == 0 || (st.Gang && fit < need) {
+		ps.job.stepPlacement(ps.round.Number, ps.step).lackedRoomAt = p.now
 		if st.Gang && len(candidates) > 0 && e.admitPartialReservation(p.now, ps, st, need) {
 			e.reservePartially(p, ps, st, candidates, need)
 		}
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -28,6 +28,8 @@
 	// WaitReserved: its tasks would fit if no capacity were reserved for other
 	// steps.
 	WaitReserved
+	// WaitForGangs: it has time left and leaves the room to gangs that wait for it.
+	WaitForGangs
 	// WaitNoRoom: its tasks don't fit on the workers that may run it, or on any
 	// if it needs no tickets.
 	WaitNoRoom
@@ -36,7 +38,7 @@
 	waitReasons
 )
 
-var waitReasonNames = [...]string{"blocked", "not-evaluated", "no-client", "querying", "renewing", "no-tickets-yet", "expired", "reserved", "no-room", "next-pass"}
+var waitReasonNames = [...]string{"blocked", "not-evaluated", "no-client", "querying", "renewing", "no-tickets-yet", "expired", "reserved", "for-gangs", "no-room", "next-pass"}
 
 // String returns the reason's name.
 func (r WaitReason) String() string { return waitReasonNames[r] }
@@ -84,9 +86,9 @@
 			q.oldest, q.Oldest.Name, q.Oldest.Age = ps, ps.stepID().StepName(), now.Sub(since)
 		}
 	}
-	evaluated := 0
+	evaluated, demand := 0, e.findRoomDemand(now, pending)
 	for _, ps := range pending {
-		reason, counts := e.waitReason(now, ps, evaluated >= maxStepsPerPass)
+		reason, counts := e.waitReason(now, ps, evaluated >= maxStepsPerPass, demand)
 		add(ps, reason)
 		if counts {
 			evaluated++
@@ -131,7 +133,8 @@
 // waitReason returns what a step waits for, and whether a scheduling pass
 // evaluates workers for the step. passFull means that a pass evaluates no more
 // steps after those before this one; the fit of its tasks is then not computed.
-func (e *Engine) waitReason(now time.Time, ps pendingStep, passFull bool) (reason WaitReason, evaluated bool) {
+// demand is the room that gangs wait for.
+func (e *Engine) waitReason(now time.Time, ps pendingStep, passFull bool, demand roomDemand) (reason WaitReason, evaluated bool) {
 	st := &ps.job.Steps[ps.step]
 	service := e.policy(ps.job).PlacementService
 	mayFit := e.index.mayFit(taskSize(st))
@@ -166,6 +169,8 @@
 	// fit and there is room on workers about which it has no answer.
 	needsQuery := permitted >= need || (mayFit && len(sp.tickets)+len(sp.rejected) < len(e.workersByID))
 	switch {
+	case permitted >= need && e.mayOnlyBackfill(now, ps, demand):
+		reason = WaitForGangs
 	case valid >= need:
 		reason = WaitNextPass
 	case needsQuery && !clientFree:
