coordination/core: a replica that loads the ledger keeps probing the others

What was seen: TestCallersAreServedWithoutTheReplicasOfTheirDomain failed in 2 of 40 runs since replicas of the own domain are probed in turn, "cut from the store: instance f04: not ready: no replica has answered lately". Callers of such an instance would be sent elsewhere.

Cause, two of them: (1) an instance that becomes a replica ceased to probe the others, although these serve its callers until it has loaded the ledger; 3.5 s later it said that none answers. It had been so before, but a replica that has lost the store was replaced earlier, by instances whose load had ended when the test looked. (2) Since replicas of other domains were probed only if they had failed their last call, so an instance whose own domain's replicas are all not ready had no sign of them without callers.

Ruled out: the time-out of the load; the load of f04 was as long before.

Now a loading replica probes on, and replicas of other domains get every second probe while none of the own domain answers.

Tests: TestLoadingReplicaIsNotReady, failed first (3 of 3 runs); the test above and TestOutageMakesEveryInstanceAReplica: 100 runs of each without a failure.

--- a/internal/coordination/core/directory.go
+++ b/internal/coordination/core/directory.go
@@ -97,13 +97,16 @@
 // this instance is the best candidate.
 func (c *Core) stepRole(now time.Time) {
 	r := &c.role
-	if c.replica.Load() || !r.loaded || c.election.leaving {
+	if c.answering.Load() || !r.loaded || c.election.leaving {
 		return
 	}
 	if _, registered := c.members[c.settings.Instance]; !registered {
 		return
 	}
 	c.stepReplicaProbes(now)
+	if c.replica.Load() {
+		return // other replicas serve its callers while it loads the ledger
+	}
 	if !c.readable.Load() {
 		r.missingSince = time.Time{} // it could not read the ledger either
 		return
@@ -208,37 +211,40 @@
 
 // nextReplicaProbe returns the replica to probe in the given turn, or "" if
 // there is none, and whether any replica has failed its last call. The replicas
-// of this failure domain, or all if it has none, are probed in turn. Others that
-// have failed their last call get every second turn.
+// of this failure domain are probed in turn. Every second turn goes to others
+// that have failed their last call or, if no replica of this domain answers, to
+// all others.
 func (c *Core) nextReplicaProbe(turn int) (name string, failed bool) {
 	var local, remote, failing []string
+	served := false // by a replica of this domain
 	for _, name := range c.replicaNames() {
 		m := c.members[name]
-		failed = failed || c.replicas.failing(m.Addr)
+		fails := c.replicas.failing(m.Addr)
+		failed = failed || fails
 		switch {
 		case m.Domain == c.settings.Domain:
 			local = append(local, name)
-		case c.replicas.failing(m.Addr):
+			served = served || !fails
+		case fails:
 			failing = append(failing, name)
 			remote = append(remote, name)
 		default:
 			remote = append(remote, name)
 		}
 	}
-	list := local
-	if len(local) == 0 {
-		list = remote
-	}
-	if len(failing) > 0 {
-		if turn%2 == 1 {
-			list = failing
-		}
-		turn /= 2
+	others := failing
+	if !served {
+		others = remote
 	}
-	if len(list) == 0 {
+	switch {
+	case len(local) == 0 && len(others) == 0:
 		return "", false
+	case len(others) == 0:
+		return local[turn%len(local)], failed
+	case len(local) == 0 || turn%2 == 1:
+		return others[turn/2%len(others)], failed
 	}
-	return list[turn%len(list)], failed
+	return local[turn/2%len(local)], failed
 }
 
 // register stores the record by which peers find this instance, at the start
--- a/internal/coordination/core/replicas_test.go
+++ b/internal/coordination/core/replicas_test.go
@@ -159,3 +159,25 @@
 		s.wantState("a", "complete")
 	})
 }
+
+// TestLoadingReplicaIsNotReady guards against an instance that refuses callers
+// while it loads the ledger as a new replica, although other replicas answer it.
+func TestLoadingReplicaIsNotReady(t *testing.T) {
+	runSite(t, 0, func(s *site) {
+		s.startDomains(10)
+		s.Store.SetFault("f04", store.Unresponsive)
+		for i := range 10 {
+			if name := fmt.Sprintf("f%02d", i); name != "f04" {
+				s.Kill(name)
+			}
+		}
+		time.Sleep(15 * time.Second)
+		s.is.True(s.Core("f04").IsReplica())
+		s.wantAllReady()
+		s.is.NoErr(s.Submit("f04", s.NewJob("a", "q", tasks(1, 100))))
+		time.Sleep(time.Second)
+		s.wantState("a", "complete")
+		s.Store.SetFault("f04", store.NoFault)
+		time.Sleep(5 * time.Second)
+	})
+}
