coordination/core: a leader that was lost in an outage of the store is replaced at its end

Cause: others stand for election when a readable ledger has shown no sign of the leader for 0.4 to 1 s. That time began when the store was back, although the leader had answered nobody for two seconds.

Ruled out: the load of the ledger (replicas have it), the staggering of candidates (at most 0.3 s).

Now replicas probe the leader each 0.4 s while the store is away. If it left two probes in a row without an answer, they wait 0.2 s for a sign of it in the 1.5 s after the outage. A leader that lives makes an append as soon as the store answers; if it is deposed all the same, the store and the workers fence it as ever.

Test, failed first: TestLeaderLostInOutageIsMissedAfterIt (1.15 s without a leader for one killed and one cut off, at most 0.5 wanted).

--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -57,6 +57,7 @@
 	nextCandidacyAt time.Time     // earliest time of the next candidacy
 	readFailing     bool          // the failure of reads has been logged
 	leaving         bool          // this instance stops and does not stand again
+	probes          leaderProbes
 
 	nextTransferAt   time.Time // of the next check for a better-provisioned peer
 	transferAttempts int       // selects the peer to probe, in turn
@@ -156,6 +157,8 @@
 		wait = initialElectionTimeout
 	case c.election.leader.Resigned || c.leaderRestarted():
 		wait = 0
+	case c.election.leaderLostInOutage(now):
+		wait = lostLeaderTimeout
 	}
 	since := c.election.lastContact
 	if c.election.readableSince.After(since) && wait > 0 {
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -56,6 +56,7 @@
 // step does the work that is due at now.
 func (c *Core) step(now time.Time) {
 	c.stepRole(now)
+	c.stepLeaderProbe(now)
 	c.stepElection(now)
 	if c.engine == nil {
 		return
--- a/internal/coordination/core/takeover_test.go
+++ b/internal/coordination/core/takeover_test.go
@@ -223,3 +223,47 @@
 	}()
 	return func() { close(stopping); <-stopped }
 }
+
+// TestLeaderLostInOutageIsMissedAfterIt guards against a site that waits for signs
+// of a leader which it has lost in an outage of the store, although the store is
+// back.
+func TestLeaderLostInOutageIsMissedAfterIt(t *testing.T) {
+	const limit = 500 * time.Millisecond // without a leader, after the outage
+	tests := []struct {
+		name string
+		do   func(s *site, leader string)
+	}{
+		{"killed", func(s *site, l string) { s.Kill(l) }},
+		{"cut off", func(s *site, l string) { s.SetUnresponsive(l, true); s.Store.SetFault(l, store.Unresponsive) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runSite(t, 5, func(s *site) {
+				old := s.Leader()
+				stop := s.startLoad("")
+				time.Sleep(3 * time.Second)
+				s.Store.SetFault("", store.Unresponsive)
+				time.Sleep(time.Second)
+				tt.do(s, old)
+				time.Sleep(2500 * time.Millisecond)
+				s.Store.SetFault("", store.NoFault)
+				began := time.Now()
+				for s.newLeader(old) == "" && time.Since(began) < 10*time.Second {
+					time.Sleep(5 * time.Millisecond)
+				}
+				if took := time.Since(began); took > limit {
+					t.Errorf("time without a leader after the outage: got %v, want at most %v", took, limit)
+				}
+				stop()
+				s.SetUnresponsive(old, false)
+				s.Store.SetFault(old, store.NoFault)
+				time.Sleep(20 * time.Second)
+				for _, id := range s.JobIDs() {
+					if got := s.JobState(s.Leader(), id); got != "complete" && got != core.ErrJobNotFound.Error() {
+						t.Errorf("job %s: got state %s, want complete", id, got)
+					}
+				}
+			})
+		})
+	}
+}
