Revert "state/admit: urgent callers' attempts outlast an outage of the store"

Cause: callers don't make four retries however long they take. Told to come back after two seconds they have two attempts instead of three. The callers who are still there when the store is back are those of its last two seconds, with either delay, and with one second they are back sooner.

Conclusion: a failed try.

--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -107,7 +107,6 @@
 	peers       atomic.Pointer[map[string]instanceRecord]
 	registering chan struct{} // signals register that the instance's record has changed
 	replicas    replicaCalls
-	refusals    refusals
 
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -38,12 +38,6 @@
 // SubmitOrForward submits a job from this instance or, if this instance can't
 // store it or has no state, through a peer. The errors are those of Submit.
 func (c *Core) SubmitOrForward(ctx context.Context, s *flow.Spec) error {
-	err := c.submitOrForward(ctx, s)
-	c.refusals.note(c.settings.Now(), err)
-	return err
-}
-
-func (c *Core) submitOrForward(ctx context.Context, s *flow.Spec) error {
 	if !c.answering.Load() {
 		return c.submitThroughReplica(ctx, s)
 	}
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -165,7 +165,7 @@
 		reply.Code = codeJobNotFound
 		writeJSON(w, http.StatusNotFound, reply)
 	case errors.Is(err, core.ErrNotExecuted):
-		retryAfter := admit.RetryAfter(nil, s.Core.RefusingFor())
+		retryAfter := admit.RetryAfter(nil)
 		reply.Code, reply.RetryAfterMs = codeNotExecuted, retryAfter.Milliseconds()
 		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 		writeJSON(w, http.StatusServiceUnavailable, reply)
