coordination/ledger: a load goes on when a silent store returns

What callers saw: an instance that is started while the store is silent, or becomes a replica then, serves and leads up to 2.9 s later than the store allows; after a loss of all instances in an outage that is the whole site. Found by reading, after the same fault of reads.

Cause: a page of the newest records that was lost in the outage was waited for until its time-out of 3 s.

Ruled out: a shorter time-out. A page takes 0.4 s on the smallest link, and over a second from a store that is sixty times slower.

Now a page without an answer is asked for again beside it each 0.8 s. Attempts that overlap are one type, for reads and pages.

--- a/internal/coordination/ledger/reader.go
+++ b/internal/coordination/ledger/reader.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 )
 
 // Timeouts of reads.
@@ -21,6 +19,9 @@
 	// firstRepeatDelay is how long after its wait a read without an answer is
 	// repeated beside it. A read is sized to take less.
 	firstRepeatDelay = 300 * time.Millisecond
+	// pageRepeatInterval is the time after which a page of the newest records is
+	// asked for again. A page takes some 0.4 s on the smallest link.
+	pageRepeatInterval = 800 * time.Millisecond
 	// minRepeatInterval is the shortest time between two repeats. For a reader
 	// whose reads wait long it is half of that wait.
 	minRepeatInterval = 200 * time.Millisecond
@@ -149,54 +150,39 @@
 }
 
 func (r *Reader) readNewestPage(ctx context.Context, after string) (NewestPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, newestPageTimeout)
-	defer cancel()
-	return r.Log.ReadNewest(ctx, after)
+	o := overlapping{firstDelay: pageRepeatInterval, interval: pageRepeatInterval, timeout: newestPageTimeout}
+	pages := make([]NewestPage, o.maxAttempts())
+	o.call = func(ctx context.Context, attempt int) (err error) {
+		pages[attempt], err = r.Log.ReadNewest(ctx, after)
+		return err
+	}
+	n, err := o.run(ctx)
+	return pages[n], err
 }
 
-// read reads the log from an offset. While a read has no answer, it is repeated
-// beside it: a read that was lost in an outage gets none, although the store may
-// answer again. The repeats do not wait for records and ask for few of them. The
-// first answer counts.
+// read reads the log from an offset. Repeats of the read do not wait for records
+// and ask for few of them.
 func (r *Reader) read(ctx context.Context, from int64, start time.Time) Batch {
-	timeout := r.MaxReadWait + readTimeoutMargin
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	attempts := parts.New()
-	defer attempts.Wait()
-	defer cancel()
-	results := make(chan readResult, int(timeout/minRepeatInterval)+1)
-	inFlight, sent := 0, 0
-	send := func(maxBytes int, wait time.Duration) {
-		inFlight++
-		sent++
-		first, at := sent == 1, r.Now()
-		attempts.Go(func() {
-			page, err := r.Log.Read(ctx, from, maxBytes, wait)
-			results <- readResult{page: page, err: err, first: first, sentAt: at}
-		})
-	}
-	wait, repeatDelay := r.MaxReadWait, r.MaxReadWait+firstRepeatDelay
+	wait := r.MaxReadWait
+	o := overlapping{firstDelay: wait + firstRepeatDelay, interval: r.repeatInterval(), timeout: wait + readTimeoutMargin}
 	if r.failing {
-		wait, repeatDelay = 0, r.repeatInterval()
+		wait, o.firstDelay = 0, o.interval
 	}
-	send(r.size.Bytes(), wait)
-	repeat := time.NewTimer(repeatDelay)
-	defer repeat.Stop()
-	for {
-		select {
-		case res := <-results:
-			inFlight--
-			var expired *ExpiredError
-			if res.err == nil || inFlight == 0 || errors.As(res.err, &expired) {
-				return r.finishRead(res, start, timeout)
-			}
-		case <-repeat.C:
-			send(minReadBytes, 0)
-			repeat.Reset(r.repeatInterval())
-		case <-attempts.Panicked():
-			attempts.Wait() // panics
+	size := r.size.Bytes()
+	results := make([]readResult, o.maxAttempts())
+	o.call = func(ctx context.Context, attempt int) (err error) {
+		res := readResult{first: attempt == 0, sentAt: r.Now()}
+		if res.first {
+			res.page, err = r.Log.Read(ctx, from, size, wait)
+		} else {
+			res.page, err = r.Log.Read(ctx, from, minReadBytes, 0)
 		}
+		res.err = err
+		results[attempt] = res
+		return err
 	}
+	n, _ := o.run(ctx) // the result has the error
+	return r.finishRead(results[n], start, o.timeout)
 }
 
 // readResult is the result of one attempt of a read.
--- a/internal/coordination/ledger/silent_store_test.go
+++ b/internal/coordination/ledger/silent_store_test.go
@@ -105,3 +105,44 @@
 		})
 	}
 }
+
+// TestLoadWaitsForLostPageAfterSilence guards against an instance that was started
+// in an outage and waits for the time-out of a page that was lost in it, while the
+// store answers again.
+func TestLoadWaitsForLostPageAfterSilence(t *testing.T) {
+	const maxDelay = time.Second // until the load is complete
+	for _, outage := range []time.Duration{200, 1200, 2500, 3500, 5000} {
+		outage *= time.Millisecond
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := store.New(1)
+				for i := range 100 {
+					// It fails only when the context has ended.
+					_, _ = st.Log("b").Append(t.Context(), ledger.Producer{}, 0, []ledger.Record{{Key: fmt.Sprintf("k%03d", i), Value: []byte("v")}})
+				}
+				st.SetFault("a", store.Unresponsive)
+				ctx, cancel := context.WithCancel(context.Background())
+				loaded := make(chan int, 1)
+				r := &ledger.Reader{
+					Log: st.Log("a"), MaxReadWait: 250 * time.Millisecond, ReadInterval: func() time.Duration { return 80 * time.Millisecond }, Now: time.Now,
+					Deliver: func(b ledger.Batch) {
+						if b.Reset {
+							loaded <- len(b.Records)
+						}
+					},
+				}
+				var wg sync.WaitGroup
+				wg.Go(func() { r.Run(ctx) })
+				time.Sleep(outage)
+				st.SetFault("a", store.NoFault)
+				end := time.Now()
+				is.New(t).Equal(<-loaded, 100)
+				if took := time.Since(end); took > maxDelay {
+					t.Errorf("time until the log was loaded after an outage of %v: got %v, want at most %v", outage, took, maxDelay)
+				}
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
