state/sched: reservations of late steps don't keep room from steps in time

Cause: the one partial reservation stays with the gang that has it while it is renewed, also once that gang is late or too late to be of use, though steps in time go first in everything else.

Ruled out: late steps that take the holes.

Now reservations of steps that are later than the one considered don't count, and a gang takes over the partial reservation of a later one.

Test, failed first: TestLateGangKeepsRoomFromGangsInTime.

--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -29,6 +29,7 @@
 type reservation struct {
 	step     TaskID // the step's ID: Index is 0
 	priority int    // of the step's queue
+	lateness int    // of the step when it was made
 	size     work.Size
 	expires  time.Time
 }
@@ -37,6 +38,7 @@
 // free is reserved until it fits.
 type partialReservation struct {
 	priority int // of the gang's queue
+	lateness int // of the gang when it was made
 	expires  time.Time
 }
 
@@ -48,7 +50,8 @@
 // reservedForOthers returns the capacity of a worker that is reserved for other
 // steps of the same or a higher priority, and drops expired reservations.
 // Reservations of lower priority don't count, so that short urgent tasks start
-// ahead of a gang that waits for capacity.
+// ahead of a gang that waits for capacity, nor do those of steps that are later
+// than this one: what they wait for is of less use.
 func (e *Engine) reservedForOthers(now time.Time, w *worker, ps pendingStep) work.Size {
 	var sum work.Size
 	if len(w.reservations) == 0 {
@@ -61,7 +64,7 @@
 			continue
 		}
 		unexpired = append(unexpired, res)
-		if res.step != id && res.priority <= ps.priority {
+		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness {
 			sum = sum.Add(res.size)
 		}
 	}
@@ -230,7 +233,7 @@
 
 // admitPartialReservation reports whether a gang with need tasks may have a
 // partial reservation beside those of the same or a higher priority, and if so
-// records it until it expires.
+// records it until it expires. It drops those of later gangs.
 func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
 	if !e.fitsEmptyWorkers(ps, st, need) {
 		return false
@@ -240,6 +243,8 @@
 		switch {
 		case !now.Before(res.expires):
 			delete(e.partialReservations, other)
+		case other != id && res.lateness > ps.lateness:
+			delete(e.partialReservations, other)
 		case other != id && res.priority <= ps.priority:
 			others++
 		}
@@ -247,7 +252,7 @@
 	if others >= maxPartialReservations {
 		return false
 	}
-	e.partialReservations[id] = partialReservation{priority: ps.priority, expires: now.Add(reservationTime)}
+	e.partialReservations[id] = partialReservation{priority: ps.priority, lateness: ps.lateness, expires: now.Add(reservationTime)}
 	return true
 }
 
@@ -261,7 +266,7 @@
 			return
 		}
 	}
-	c.worker.reservations = append(c.worker.reservations, reservation{step: id, priority: ps.priority, size: size, expires: p.now.Add(reservationTime)})
+	c.worker.reservations = append(c.worker.reservations, reservation{step: id, priority: ps.priority, lateness: ps.lateness, size: size, expires: p.now.Add(reservationTime)})
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	sp.reservedOn = append(sp.reservedOn, c.worker)
 }
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -202,3 +202,44 @@
 	is.Equal(s.violations, nil)
 	is.Equal(s.progress("higher").State, flow.Complete)
 }
+
+// TestLateGangKeepsRoomFromGangsInTime guards against gangs that become late
+// because one that is late already has the partial reservation and renews it.
+func TestLateGangKeepsRoomFromGangsInTime(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 4)
+	s.config = &flow.Config{Version: 2, Queues: []flow.Queue{
+		{Name: "gangs", Policy: flow.Policy{Service: simService, Priority: 1, MaxAttempts: 3, Stretch: 1, SlackMs: 1000}},
+		{Name: "filler", Policy: flow.Policy{Service: simService, MaxAttempts: 3}},
+	}}
+	s.startLeader()
+	s.run(time.Second)
+	for i, id := range s.workerNames {
+		s.workers[id].speed = 1
+		s.workers[id].info.Labels = []string{id}
+		s.refreshWorkers()
+		st := taskStep(1, 16000, 20_000)
+		st.Label = id
+		spec := newJobSpec(fmt.Sprintf("filler%d", i), "filler", st)
+		spec.Policy = s.config.Queue("filler").Policy
+		s.submit(spec)
+	}
+	s.run(500 * time.Millisecond)
+	gang := func(id string, cpu int64) *flow.Spec {
+		spec := newJobSpec(id, "gangs", gangStep(4, cpu, 500))
+		spec.Policy = s.config.Queue("gangs").Policy
+		s.submit(spec)
+		return spec
+	}
+	gang("wide", 20000) // fits when the others end, after its objective
+	s.run(3 * time.Second)
+	spec := gang("small", 14000)
+	s.run(5 * time.Second)
+	p := s.progress("small")
+	if p.State != flow.Complete || p.EndedMs-spec.AcceptedMs > objective(spec) {
+		t.Errorf("the gang that fits has state %s after %v; want it complete within its objective of %d ms", p.State, 5*time.Second, objective(spec))
+	}
+	s.run(30 * time.Second)
+	is.Equal(s.progress("wide").State, flow.Complete)
+	is.Equal(s.violations, nil)
+}
