--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -199,7 +199,7 @@
 		c.settings.Logger.Error().Err(err).Msg("leader: claim can't be encoded")
 		return
 	}
-	c.settings.Logger.Info().Int64("term", term).Dur("silence", now.Sub(c.election.lastContact)).Msg("leader: standing for election")
+	c.settings.Logger.Info().Int64("term", term).Dur("silence", now.Sub(c.election.lastContact)).Int("probes-unanswered", c.election.probes.unanswered).Msg("leader: standing for election")
 	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
 		defer cancel()
--- a/internal/coordination/core/replicas.go
+++ b/internal/coordination/core/replicas.go
@@ -32,11 +32,12 @@
 	breaker    admit.Breaker   // of calls that need the store
 }
 
-// tries returns at how many replicas a call that needs the store may be tried.
-func (r *replicaCalls) tries(now time.Time) int {
+// tries returns at how many replicas a call that needs the store may be tried, and
+// how many tries in a row have been in vain.
+func (r *replicaCalls) tries(now time.Time) (tries, inVain int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.breaker.Tries(now)
+	return r.breaker.Tries(now), r.breaker.InVain
 }
 
 // noteTry records whether a replica has carried out a call that needs the store.
@@ -132,9 +133,10 @@
 // storeThroughReplica makes a call that needs the store, as callReplica does. While
 // all replicas refuse such calls, most are refused without being tried.
 func (c *Core) storeThroughReplica(ctx context.Context, operation, id string, call func(ctx context.Context, addr string) error) (tried bool, err error) {
-	tries := c.replicas.tries(c.settings.Now())
+	tries, inVain := c.replicas.tries(c.settings.Now())
 	if tries == 0 {
 		c.settings.Meter.Count("refused_untried", "call", operation, 1)
+		c.settings.Logger.Info().Str("job", id).Str("call", operation).Int("tries-in-vain", inVain).Msg("core: call refused untried")
 		return false, ErrNotExecuted
 	}
 	return true, c.callReplica(ctx, operation, id, tries, func(ctx context.Context, addr string) error {
