state/sched: a gang that can't get its room keeps none of it reserved

Cause: a gang that does not fit reserves what is free on the workers that may run it, one gang at a time, if it would fit on its workers empty. That counted workers that are listed and do not answer or are excluded, and room taken by tasks that run until their job is cancelled. Such a gang renews its reservation for ever; steps of the same or a lower priority that would fit wait beside free workers, until it is later than they are, or for ever if they are as late.

Ruled out: lost bookkeeping of pending steps and stuck queries; the random test reports the steps as pending, for the reason "reserved".

Now only usable workers count, less the room of lasting tasks. The same figure decides whether a step knows of enough room to wait for instead of querying further workers.

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -351,7 +351,7 @@
 		perWorker = min(perWorker, st.MaxPerWorker)
 	}
 	for _, c := range permitted {
-		known += fitCount(c.worker.Capacity, taskSize(st), perWorker)
+		known += fitCount(c.worker.attainable(), taskSize(st), perWorker)
 	}
 	if known >= knownRoomFactor*len(ps.idleTasks) {
 		return false
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -162,19 +162,19 @@
 	return chosen
 }
 
-// fitsEmptyWorkers reports whether need tasks of the step would fit on the
-// workers of its service if these were empty, without those that the placement
-// service has rejected. Capacity reserved for a gang that does not fit even then
-// would stay unused.
-func (e *Engine) fitsEmptyWorkers(ps pendingStep, st *flow.Step, need int) bool {
+// fitsOnceTasksEnd reports whether need tasks of the step would fit on the usable
+// workers of its service once all tasks there have ended that do so by themselves,
+// without the workers that the placement service has rejected. Capacity reserved
+// for a gang that does not fit even then would stay unused.
+func (e *Engine) fitsOnceTasksEnd(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
 	service, perWorker := e.policy(ps.job).Service, need
 	if st.MaxPerWorker > 0 {
 		perWorker = min(perWorker, st.MaxPerWorker)
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	for _, w := range e.workersByID {
-		if w.listed && !w.Draining && !sp.rejected[w.ID] && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
-			need -= fitCount(w.Capacity, taskSize(st), perWorker)
+		if w.usable(now) && !sp.rejected[w.ID] && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
+			need -= fitCount(w.attainable(), taskSize(st), perWorker)
 		}
 		if need <= 0 {
 			return true
@@ -235,7 +235,7 @@
 // partial reservation beside those of the same or a higher priority, and if so
 // records it until it expires. It drops those of later gangs.
 func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
-	if !e.fitsEmptyWorkers(ps, st, need) {
+	if !e.fitsOnceTasksEnd(now, ps, st, need) {
 		return false
 	}
 	id, others := ps.stepID(), 0
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -59,6 +59,9 @@
 	r := &run{id: id, job: j, task: t, number: t.Run, worker: w, size: size, placedAt: now, speedPercent: fullSpeedPercent}
 	w.runs[id] = r
 	w.used = w.used.Add(size)
+	if st.LongRunning {
+		w.lasting = w.lasting.Add(size)
+	}
 	e.index.update(w)
 	j.runs[id] = r
 	e.checkNow(w)
@@ -289,6 +292,9 @@
 func (e *Engine) removeRun(r *run) {
 	delete(r.worker.runs, r.id)
 	r.worker.used = r.worker.used.Sub(r.size)
+	if r.job.Steps[r.id.Step].LongRunning {
+		r.worker.lasting = r.worker.lasting.Sub(r.size)
+	}
 	e.index.update(r.worker)
 	delete(r.job.runs, r.id)
 	e.checkNow(r.worker)
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -55,6 +55,7 @@
 	lastIncarnation  int64     // incarnation of the last report, 0 before the first
 	runs             map[TaskID]*run
 	used             work.Size                  // total size of runs
+	lasting          work.Size                  // of those that run until their job is cancelled
 	unknownRuns      int                        // unknown runs in its last report
 	reservations     []reservation              // capacity reserved for pending steps
 	softReservations map[TaskID]softReservation // of steps with queries in flight, by step
@@ -184,6 +185,10 @@
 // since then, or since its entry in the list changed.
 func (w *worker) reachable() bool { return !w.clockReadAt.IsZero() && w.failedPolls == 0 }
 
+// attainable returns the capacity that is free once all tasks that end by
+// themselves have ended.
+func (w *worker) attainable() work.Size { return w.Capacity.Sub(w.lasting) }
+
 // checkWorker polls the worker when that is due, and handles expired leases,
 // unanswered orders and stalled tasks.
 func (e *Engine) checkWorker(now time.Time, w *worker) {
