--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -129,7 +129,7 @@
 	s := &siteInstance{settings: settings, logger: logger, meter: meter.New(), leaving: make(chan struct{}), listen: net.Listen}
 	client := platform.NewHTTPClient()
 	store := &platform.StoreClient{Addr: settings.StoreAddr, HTTP: client}
-	workers := &platform.WorkerClient{Store: store, HTTP: client}
+	workers := &platform.WorkerClient{Store: store, HTTP: client, Logger: logger}
 	placement := &platform.PlacementClient{Addr: settings.PlacementAddr, HTTP: client}
 	peers := cell.NewClient(client)
 	s.core = core.New(core.Settings{
