state/sched: a worker that has never answered is no room for gangs

Callers saw: nothing yet. Cause: whether a gang fits on the empty workers was computed over all listed workers of the service, also those that have never answered a poll. They were also in the index of free capacity, so that steps without any room were evaluated in each pass, in the place of others. Ruled out by TestUnansweredEntriesDisturbNobody, which passed before: that entries without an answer get runs, reservations, soft reservations, a place in queries, or a part in the sums of the stats, with capacities of 0 to 2^40; and by TestPollsOfUnansweredEntriesAreRare (passed before): that they are polled more often than each 0.8 s. Now a worker counts for both once it has answered a poll. TestUnansweredEntryCountsAsRoomForGangs failed first (the gang that needs all workers stayed queued, with and without tickets), and so did TestUnansweredEntryCountsAsRoomForSteps. Left: such an entry counts among the workers from which on relays are used (100), and for the limit on the workers that a gang's queries may name.

Conclusion: what an entry claims counts only once its worker has answered.

--- a/internal/state/sched/index.go
+++ b/internal/state/sched/index.go
@@ -41,8 +41,9 @@
 	return min(bits.Len64(uint64(max(cpu, 0)/firstLevelMilliCPU)), cpuLevels-1)
 }
 
-// workerIndex holds the listed workers by level of free CPU and by rank, so
-// that only workers on which a step may fit are visited, the best first.
+// workerIndex holds the listed workers that have ever answered, by level of free
+// CPU and by rank, so that only workers on which a step may fit are visited, the
+// best first.
 type workerIndex struct {
 	trees [cpuLevels]*btree.BTreeG[*worker] // by level, ordered by betterWorker
 }
@@ -65,14 +66,15 @@
 }
 
 // update computes the worker's level and rank and moves it in the index, or
-// removes it if it is not listed. It must be called after each change of the
-// worker's capacity, its runs, its slowdown estimate, or whether it is listed.
+// removes it if it is not listed or has never answered. It must be called after
+// each change of the worker's capacity, its runs, its slowdown estimate, or
+// whether it is listed, and after its first answer.
 func (idx *workerIndex) update(w *worker) {
 	if w.indexed {
 		idx.trees[w.cpuLevel].Delete(w)
 	}
-	w.indexed = w.listed
-	if !w.listed {
+	w.indexed = w.listed && w.hasAnswered()
+	if !w.indexed {
 		return
 	}
 	free := w.Capacity.CPU - w.used.CPU
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -98,6 +98,9 @@
 		e.restoreWorkerEstimates(w)
 	}
 	w.clock, w.clockReadAt = report.Clock, now
+	if first {
+		e.index.update(w)
+	}
 	listed := e.applyRunning(now, w, report.Running)
 	e.throttleFillingTasks(now, w, report.Running)
 	e.applyEnds(now, w, report.Ended)
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -164,8 +164,8 @@
 
 // fitsEmptyWorkers reports whether need tasks of the step would fit on the
 // workers of its service if these were empty, without those that the placement
-// service has rejected. Capacity reserved for a gang that does not fit even then
-// would stay unused.
+// service has rejected or that have never answered. Capacity reserved for a gang
+// that does not fit even then would stay unused.
 func (e *Engine) fitsEmptyWorkers(ps pendingStep, st *flow.Step, need int) bool {
 	service, perWorker := e.policy(ps.job).Service, need
 	if st.MaxPerWorker > 0 {
@@ -173,7 +173,7 @@
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	for _, w := range e.workersByID {
-		if w.listed && !w.Draining && !sp.rejected[w.ID] && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
+		if w.listed && w.hasAnswered() && !w.Draining && !sp.rejected[w.ID] && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
 			need -= fitCount(w.Capacity, taskSize(st), perWorker)
 		}
 		if need <= 0 {
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -182,7 +182,12 @@
 
 // reachable reports whether the worker has answered a poll and none has failed
 // since then, or since its entry in the list changed.
-func (w *worker) reachable() bool { return !w.clockReadAt.IsZero() && w.failedPolls == 0 }
+func (w *worker) reachable() bool { return w.hasAnswered() && w.failedPolls == 0 }
+
+// hasAnswered reports whether the worker has ever answered a poll. Until then its
+// entry in the list, which another writer may have stored, is all that says that
+// it exists.
+func (w *worker) hasAnswered() bool { return !w.clockReadAt.IsZero() }
 
 // checkWorker polls the worker when that is due, and handles expired leases,
 // unanswered orders and stalled tasks.
