state/flow, platform: numbers of a job beyond what is computed with are reduced to the largest

Callers saw: nothing yet. A job with an estimate of 1e13 ms or more never ended: its tasks were stopped 0.6 s after their start as ones that take too long, and started again for ever. With an interval of 1e13 ms or more between rounds the start of a late round overflowed; with 9.2e18 and more all rounds were due at once. Cause: the bound for a stalled task is up to 40 times the estimate, which overflowed a time.Duration; the start of a round is the interval times its number. A float64 above 2^63 becomes the largest int64 on arm64 and the smallest on x86-64, so that 1e19 was accepted here and answered with 400 there. Ruled out: sums of sizes. They aren't refused: a job that an earlier version has accepted must not be dropped by the next leader, and a larger number means the same. Negative numbers stay refused. The number of workers that a query should name, a ratio of two settings, is bounded before it becomes an integer.

Conclusion: a number too large means the largest, on each architecture.

--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -170,12 +170,13 @@
 // EncodeSpec returns the stored form of a spec.
 func EncodeSpec(s *Spec) ([]byte, error) { return json.Marshal(s) }
 
-// DecodeSpec decodes and checks the stored form of a spec. If the check fails, it
-// returns the spec together with the error.
+// DecodeSpec decodes, limits and checks the stored form of a spec. If the check
+// fails, it returns the spec together with the error.
 func DecodeSpec(data []byte) (*Spec, error) {
 	s := &Spec{}
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, err
 	}
+	s.Limit()
 	return s, s.Check()
 }
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -223,7 +223,7 @@
 	if service.PerWorkerMs <= 0 {
 		return maxQueryWorkers
 	}
-	return max(minQueryWorkers, min(maxQueryWorkers, int(maxNamingCostShare*service.CallMs/service.PerWorkerMs)))
+	return max(minQueryWorkers, int(min(maxQueryWorkers, maxNamingCostShare*service.CallMs/service.PerWorkerMs)))
 }
 
 // queryDuration returns the computed duration of a query about n workers.
