state/sched: the log tells a crash of a worker from a cut

A run whose worker crashed ends as "lease lapsed", like one whose worker was cut off: the log had no more than worker-silent and worker-unlisted.

Now worker-replaced says that another worker or incarnation answers at a worker's address, and worker-crashed names each run under which a worker has crashed or may have, with how long it had been at work when the worker was last heard from. leader: state and the metrics count the certain ones.

Nothing is decided by it yet.

--- a/internal/coordination/core/stats.go
+++ b/internal/coordination/core/stats.go
@@ -65,7 +65,7 @@
 	s, a := c.engine.Stats(now), c.engine.TakeActivity()
 	busyQuick, busyLong := busyShare(a.QuickQueryTime, elapsed, s.Clients), busyShare(a.LongQueryTime, elapsed, s.LongQueryClients)
 	for name, v := range map[string]float64{
-		"live_jobs": float64(s.LiveJobs), "runs": float64(s.Runs), "cpu_used": s.CPU.Used, "cpu_unconfirmed": s.CPU.Unconfirmed, "cpu_stopping": s.CPU.Stopping,
+		"live_jobs": float64(s.LiveJobs), "runs": float64(s.Runs), "crashed_runs": float64(s.CrashedRuns), "cpu_used": s.CPU.Used, "cpu_unconfirmed": s.CPU.Unconfirmed, "cpu_stopping": s.CPU.Stopping,
 		"cpu_reserved": s.CPU.Reserved, "cpu_reserved_idle": s.CPU.ReservedIdle, "reserving_steps": float64(s.ReservingSteps),
 		"placement_clients": float64(s.Clients), "placement_busy_quick": busyQuick, "placement_busy_long": busyLong,
 	} {
@@ -79,7 +79,7 @@
 		c.waitingQueues = append(c.waitingQueues, queue)
 	}
 	c.settings.Logger.Info().Int("jobs", s.Jobs).Int("live", s.LiveJobs).Int("waiting", s.PendingSteps).Int("waiting-late", s.LatePendingSteps).Interface("waiting-in", waitingIn).
-		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.UnansweredStarts).Int("workers", s.Workers).Int("usable", s.Usable).
+		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.UnansweredStarts).Int("crashed", s.CrashedRuns).Int("workers", s.Workers).Int("usable", s.Usable).
 		Float64("cpu-used", roundShare(s.CPU.Used)).Float64("cpu-unconfirmed", roundShare(s.CPU.Unconfirmed)).Float64("cpu-stopping", roundShare(s.CPU.Stopping)).
 		Float64("cpu-reserved", roundShare(s.CPU.Reserved)).Float64("cpu-reserved-idle", roundShare(s.CPU.ReservedIdle)).Int("reserving", s.ReservingSteps).
 		Int("asking", s.QueriesInFlight).Int("clients", s.Clients).Float64("busy-quick", roundShare(busyQuick)).Float64("busy-long", roundShare(busyLong)).
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -84,6 +84,7 @@
 	unsavedStarts        []*run // in the next batch; ordered once it is stored
 	unsavedAcks          map[*worker]ack
 	unsavedEnds          []reportedEnd // in the next batch
+	crashedRuns          int           // runs under which a worker has certainly crashed
 	activity             Activity      // since it was last taken
 	nextTick             time.Time
 	nextCleanup          time.Time
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -72,6 +72,13 @@
 		e.addEvent("worker-silent", TaskID{}, 0, w.ID, a.String(), took)
 	}
 	w.failedPolls++
+	if a == AnswerOtherIncarnation && !w.replaced {
+		w.replaced = true
+		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, a.String(), now.Sub(w.lastContact))
+		if !w.Draining {
+			e.recordCrash(now, w, 0, true)
+		}
+	}
 	pause := min(pollRetryPause<<min(w.failedPolls-1, 4), maxPollRetryPause)
 	w.nextPoll = now.Add(pause)
 }
@@ -87,8 +94,11 @@
 	if w.failedPolls > 0 || w.clockReadAt.IsZero() {
 		e.addEvent("worker-answers", TaskID{}, 0, w.ID, "", now.Sub(w.lastContact))
 	}
+	if w.lastIncarnation != report.Incarnation {
+		e.recordCrash(now, w, report.Incarnation, true)
+	}
 	first := w.clockReadAt.IsZero()
-	w.failedPolls, w.lastContact, w.leasesExpired = 0, now, false
+	w.failedPolls, w.lastContact, w.leasesExpired, w.replaced = 0, now, false, false
 	if w.lastIncarnation != report.Incarnation {
 		if w.lastIncarnation != 0 {
 			e.addEvent("worker-restarted", TaskID{}, 0, w.ID, "", 0)
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -51,6 +51,9 @@
 	speedPercent  int    // speed of a filling task; may be unknownSpeedPercent
 	ticket        string
 	ticketExpires time.Time
+
+	incarnation   int64 // of the worker when the start was first sent
+	crashRecorded bool  // a crash of the worker under the run has been recorded
 }
 
 func (e *Engine) newRun(now time.Time, j *job, id TaskID, t *flow.Task, w *worker) *run {
@@ -70,7 +73,7 @@
 func (e *Engine) adoptRun(j *job, id TaskID, t *flow.Task) {
 	w := e.ensureWorker(t.Worker)
 	r := e.newRun(e.startedAt, j, id, t, w)
-	r.adopted, r.startSent, r.speedPercent = true, true, unknownSpeedPercent
+	r.adopted, r.startSent, r.incarnation, r.speedPercent = true, true, t.Incarnation, unknownSpeedPercent
 	if j.State.Final() {
 		r.stopReason = j.State.String()
 	}
@@ -92,7 +95,9 @@
 }
 
 func (e *Engine) sendStart(now time.Time, r *run) {
-	r.startSent = true
+	if !r.startSent {
+		r.startSent, r.incarnation = true, r.worker.lastIncarnation
+	}
 	r.ordersInFlight++
 	r.startAttempts++
 	e.output.Orders = append(e.output.Orders, Order{
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -21,6 +21,7 @@
 	Clients          int // healthy placement clients
 	LongQueryClients int // those of them that get long queries
 	UnansweredStarts int // runs whose start was not answered
+	CrashedRuns      int // runs of this term under which a worker has certainly crashed
 }
 
 // CPUShares are shares of the usable workers' CPU.
@@ -35,7 +36,7 @@
 
 // Stats returns the figures as of now.
 func (e *Engine) Stats(now time.Time) Stats {
-	s := Stats{Jobs: len(e.jobs), LiveJobs: len(e.liveJobs)}
+	s := Stats{Jobs: len(e.jobs), LiveJobs: len(e.liveJobs), CrashedRuns: e.crashedRuns}
 	pending := e.pendingSteps(now)
 	s.PendingSteps = len(pending)
 	for _, ps := range pending {
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -67,6 +67,7 @@
 	nextPoll       time.Time
 	failedPolls    int // failed polls since the last report, or since its entry changed
 	lastContact    time.Time
+	replaced       bool            // another worker or incarnation has answered at its address since the last report
 	leasesExpireBy time.Time       // every lease granted to it has expired by then
 	leasesExpired  bool            // all its leases have expired, so no earlier run still runs
 	ackedEnd       int64           // ends up to this number are stored and may be acknowledged
@@ -232,6 +233,9 @@
 		e.addEvent("worker-lapsed", TaskID{}, 0, w.ID, "", now.Sub(w.lastContact))
 	}
 	w.leasesExpired = true
+	if (w.replaced || !w.listed) && !w.Draining {
+		e.recordCrash(now, w, 0, w.replaced)
+	}
 	for _, r := range w.sortedRuns() {
 		if r.startSent && r.ordersInFlight == 0 {
 			e.endWithoutResult(now, r, "lease lapsed")
