state/sched: failing tests of tasks that crash their workers

Simulated workers crash under a task 10 ms, 1 s or 5 s after each start, or before they have answered it, and come back after 3 s with another incarnation or under another ID at the same address; the leader is lost before or after the worker is back. In all cases the task is started until the test ends. A start that got no answer is repeated at once to a worker that has stopped answering.

--- /dev/null
+++ b/internal/state/sched/crash_test.go
@@ -0,0 +1,197 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
+
+// deadly is how the tasks of a job crash the workers that start them.
+type deadly struct {
+	after    time.Duration // from the start to the crash; 0: before the worker answers
+	replaced bool          // the worker comes back under another ID at its address
+}
+
+// crashDown is how long a worker is away after a crash.
+const crashDown = 3 * time.Second
+
+// crashUnder makes the worker crash under a task that it has started.
+func (w *simWorker) crashUnder(id TaskID, d deadly) {
+	s, incarnation := w.sim, w.incarnation
+	s.crashStarts[id]++
+	crash := func() {
+		if w.incarnation != incarnation {
+			return
+		}
+		s.crashes[id]++
+		if d.replaced {
+			w.crashAndReplace(crashDown)
+		} else {
+			w.crash(crashDown)
+		}
+		if s.crashHandler != nil {
+			s.crashHandler(id)
+		}
+	}
+	if d.after == 0 {
+		crash()
+		return
+	}
+	s.after(d.after, crash)
+}
+
+// crashAndReplace makes the worker crash for good; another one comes at its
+// address.
+func (w *simWorker) crashAndReplace(down time.Duration) {
+	w.up = false
+	w.reboot()
+	w.sim.after(down, func() {
+		next := w.sim.addWorker(fmt.Sprintf("%s-%d", w.info.ID, w.incarnation), w.info.Rack)
+		next.info.Addr = w.info.Addr
+		w.successor = next
+	})
+}
+
+// answerAsSuccessor answers an order to a worker that another one has replaced.
+func (s *sim) answerAsSuccessor(e *Engine, w *simWorker, o Order, reply, onTimeout func(func())) {
+	handle := func(a Answer) {
+		switch o.Kind {
+		case OrderStart:
+			e.HandleStartAnswer(s.now, o, a, 0)
+		case OrderStop:
+			e.HandleStopAnswer(s.now, o, a, 0)
+		case OrderPoll:
+			e.HandlePollFailure(s.now, o, a, 0)
+		}
+	}
+	onTimeout(func() { handle(AnswerNone) })
+	s.after(simLatency, func() {
+		if w.successor.reachable() {
+			reply(func() { handle(AnswerOtherIncarnation) })
+		}
+	})
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against a task that is started
+// without end though each worker that starts it crashes.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	tests := []struct {
+		name      string
+		how       deadly
+		step      flow.Step
+		lose      time.Duration // after each of the first two crashes the leader is lost this much later; 0: never
+		maxStarts int
+	}{
+		{"worker replaced", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 0, 2},
+		{"worker restarted", deadly{after: 10 * time.Millisecond}, taskStep(1, 2000, 700), 0, 2},
+		{"gang", deadly{after: 10 * time.Millisecond, replaced: true}, gangStep(4, 9000, 700), 0, 2},
+		{"long-running", deadly{after: 10 * time.Millisecond, replaced: true}, longRunningStep(), 0, 2},
+		{"leader lost before the worker is back", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 500 * time.Millisecond, 4},
+		{"leader lost before the restart", deadly{after: 10 * time.Millisecond}, taskStep(1, 2000, 700), 500 * time.Millisecond, 4},
+		{"leader lost before the task starts again", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 4500 * time.Millisecond, 2},
+		{"start unanswered", deadly{replaced: true}, taskStep(1, 2000, 700), 0, 5},
+		{"start unanswered, worker restarted", deadly{}, taskStep(1, 2000, 700), 0, 5},
+		{"crash one second later", deadly{after: time.Second, replaced: true}, taskStep(1, 2000, 700), 0, 5},
+		{"crash five seconds later", deadly{after: 5 * time.Second, replaced: true}, taskStep(1, 2000, 7000), 0, 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 12)
+			s.run(time.Second)
+			losses := 0
+			s.crashHandler = func(TaskID) {
+				if tt.lose == 0 || losses == 2 {
+					return
+				}
+				losses++
+				s.after(tt.lose, func() { s.engine = nil })
+				s.after(tt.lose+time.Second, s.startLeader)
+			}
+			s.deadly["deadly"] = tt.how
+			s.submit(newJobSpec("deadly", "q1", tt.step))
+			// The jobs that other callers submit run on the workers that crash.
+			for i := range 400 {
+				if i%10 == 0 {
+					s.submit(newJobSpec(fmt.Sprintf("a%d", i), "q1", taskStep(6, 1500, 800)))
+				}
+				s.run(250 * time.Millisecond)
+			}
+			s.run(10 * time.Second)
+			if len(s.violations) > 0 {
+				t.Errorf("invariant violated: %s", s.violations[0])
+			}
+			is.Equal(s.progress("deadly").State, flow.Failed)
+			for id, n := range s.crashStarts {
+				if n > tt.maxStarts {
+					t.Errorf("%v: got %d starts, want at most %d", id, n, tt.maxStarts)
+				}
+			}
+			for _, id := range s.jobIDs {
+				if st := s.progress(id).State; id != "deadly" && !s.jobs[id].removed && st != flow.Complete {
+					t.Errorf("job %s beside the task: got state %v, want complete", id, st)
+				}
+			}
+		})
+	}
+}
+
+func longRunningStep() flow.Step {
+	st := taskStep(1, 2000, 700)
+	st.LongRunning = true
+	return st
+}
+
+// TestUnansweredStartIsNotRepeatedToRestartedWorker guards against one run of a
+// task that crashes a worker twice: its start got no answer since the worker
+// crashed, and goes to the worker's next incarnation.
+func TestUnansweredStartIsNotRepeatedToRestartedWorker(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
+	e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
+	list := func(incarnation int64) {
+		e.SetWorkers(now, []WorkerInfo{{ID: "w", Addr: "w", Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: incarnation}})
+	}
+	orders := func(kind OrderKind) []Order {
+		now = now.Add(time.Second)
+		e.Tick(now)
+		var out []Order
+		for _, o := range e.TakeOutput().Orders {
+			if o.Kind == kind {
+				out = append(out, o)
+			}
+		}
+		return out
+	}
+	list(1)
+	polls := orders(OrderPoll)
+	is.Equal(len(polls), 1)
+	e.HandlePollReport(now, polls[0], Report{Incarnation: 1})
+	e.AddJob(now, &flow.Job{Spec: &flow.Spec{ID: "a", Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}})
+	e.Schedule(now)
+	e.HandleCommit(now, e.Batch())
+	out := e.TakeOutput().Orders
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Kind, OrderStart)
+	start := out[0]
+
+	polls = orders(OrderPoll)
+	is.Equal(len(polls), 1)
+	e.HandlePollFailure(now, polls[0], AnswerNone, 0)
+	e.HandleStartAnswer(now, start, AnswerNone, 0)
+	is.Equal(len(e.TakeOutput().Orders), 0) // the worker may have crashed
+	list(2)
+	polls = orders(OrderPoll)
+	is.Equal(len(polls), 1)
+	e.HandlePollReport(now, polls[0], Report{Incarnation: 2})
+	for _, o := range e.TakeOutput().Orders {
+		is.True(o.Kind != OrderStart)
+	}
+	is.Equal(len(orders(OrderStart)), 0)
+}
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -44,6 +44,12 @@
 	allowedShare    float64 // workers that may run a step
 	queryLossRate   float64 // queries to the placement service, and probes, that fail
 
+	deadly       map[string]deadly // jobs whose tasks crash the workers that start them, by job ID
+	crashes      map[TaskID]int    // workers that crashed under a task of these
+	crashStarts  map[TaskID]int    // starts of such a task
+	laterStarts  map[TaskID]int    // those after the third crash
+	crashHandler func(id TaskID)   // called at each crash, nil if not needed
+
 	stopTime time.Duration      // how long a stop takes at a worker
 	stepWork map[string]jobWork // of jobs whose estimates are wrong, by job ID
 
@@ -111,6 +117,7 @@
 	tasksHang      bool
 	tasksFail      bool
 	waitingPoll    *longPoll
+	successor      *simWorker // has its address, nil if none has
 }
 
 // simRun is a run on a simulated worker.
@@ -168,6 +175,7 @@
 		params: Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: 120 * time.Second},
 		jobs:   map[string]*storedJob{}, workers: map[string]*simWorker{}, runWorkers: map[runKey]*simWorker{}, allowedShare: 1, stopTime: 100 * time.Millisecond, stepWork: map[string]jobWork{},
 		started: map[TaskID]bool{}, ackedDone: map[TaskID]bool{}, done: map[TaskID]bool{}, savedWork: map[TaskID]time.Duration{}, ackedFailures: map[TaskID]int{},
+		deadly: map[string]deadly{}, crashes: map[TaskID]int{}, crashStarts: map[TaskID]int{}, laterStarts: map[TaskID]int{},
 	}
 	s.config = &flow.Config{Version: 1}
 	for i, service := range []flow.PlacementService{{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 1500}, {CallMs: 50, PerWorkerMs: 0.7, TicketValidMs: 1500}, {}} {
@@ -432,6 +440,10 @@
 	// A worker that carries out an order late has received it at once, so the
 	// order is lost if the worker restarts in between.
 	incarnation := w.incarnation
+	if w.successor != nil {
+		s.answerAsSuccessor(e, w, o, reply, onTimeout)
+		return
+	}
 	switch o.Kind {
 	case OrderStart:
 		onTimeout(func() { e.HandleStartAnswer(s.now, o, AnswerNone, 0) })
@@ -439,8 +451,9 @@
 			if orderLost || !w.reachable() || (delayed && w.incarnation != incarnation) {
 				return
 			}
+			bootedAs := w.incarnation
 			a := w.start(term, o)
-			if !delayed && !answerLost {
+			if !delayed && !answerLost && w.incarnation == bootedAs {
 				reply(func() { e.HandleStartAnswer(s.now, o, a, 0) })
 			}
 		})
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -96,6 +96,10 @@
 	w.extendLease(o.LeaseExpiry)
 	r := &simRun{id: o.Task, number: o.Run, size: step.Size, gang: step.Gang, startedAt: s.now, running: true}
 	w.runs[o.Task] = r
+	if d, ok := s.deadly[o.Task.Job]; ok {
+		w.crashUnder(o.Task, d)
+		return AnswerOK
+	}
 	s.runWorkers[runKey{o.Task, o.Run}] = w
 	s.started[o.Task] = true
 	work := s.workOf(stored.spec, o.Task.Step)
@@ -148,6 +152,11 @@
 	if !step.Gang && s.ackedFailures[o.Task] >= 3 {
 		s.violation("BUDGET: %v starts after %d failures", o.Task, s.ackedFailures[o.Task])
 	}
+	if s.crashes[o.Task] >= 3 {
+		if s.laterStarts[o.Task]++; s.laterStarts[o.Task] >= 3 {
+			s.violation("BUDGET: %v starts for the %d. time after three workers crashed under it", o.Task, s.laterStarts[o.Task])
+		}
+	}
 	if step.MaxPerWorker > 0 {
 		n := 1
 		for id := range w.runs {
