state/sched: a task that crashes its workers is given up

Cause: attempts count the ends that workers report as failed. A worker that crashes reports none; its runs end as "lease lapsed" or "the worker lost it", which start again. Nothing else remembers the crash, also not for the next leader.

Ruled out: that a start is repeated to a worker that is back; each of the six starts is a run of its own.

Now a crash adds to a score that is stored with the task: 2 if it is certain and came right after the start, 1 if only one of these holds or if the run was older and the crash is certain. At 4 the job fails, so after two certain crashes at start, and after four at most. A worker that is cut off, or drains and leaves, adds nothing, but for 1 if it never comes back and a run had just been confirmed there.

TestCrashScoresDoNotChangeEarlierForm, with a record that the code before wrote.

--- a/internal/state/flow/codec.go
+++ b/internal/state/flow/codec.go
@@ -9,6 +9,14 @@
 // codecVersion is the first number of each stored progress record.
 const codecVersion = 1
 
+// sectionCrashes is the first number of the section that may follow the rounds: a
+// count, then for each task with a crash score the indexes of its round, of its
+// step and within the step, and the score.
+const sectionCrashes = 1
+
+// maxCrashScore bounds the scores that a record may hold.
+const maxCrashScore = 1 << 20
+
 // errMalformed is returned for a progress record that is truncated or holds a
 // number out of its range.
 var errMalformed = errors.New("progress record is truncated or holds a number out of range")
@@ -33,6 +41,7 @@
 			}
 		}
 	}
+	e.appendCrashes(p)
 	return e.b
 }
 
@@ -53,6 +62,30 @@
 	e.b = append(e.b, s...)
 }
 
+// appendCrashes appends the section of crash scores if any task has one.
+func (e *encoder) appendCrashes(p *Progress) {
+	var entries [][4]int
+	for i, r := range p.Rounds {
+		for step, tasks := range r.Steps {
+			for k := range tasks {
+				if score := tasks[k].CrashScore; score > 0 {
+					entries = append(entries, [4]int{i, step, k, score})
+				}
+			}
+		}
+	}
+	if len(entries) == 0 {
+		return
+	}
+	e.appendVarint(sectionCrashes)
+	e.appendVarint(int64(len(entries)))
+	for _, entry := range entries {
+		for _, n := range entry {
+			e.appendVarint(int64(n))
+		}
+	}
+}
+
 func (e *encoder) appendTask(t *Task) {
 	e.appendVarint(int64(t.Phase))
 	e.appendVarint(int64(t.Run))
@@ -67,7 +100,7 @@
 
 // DecodeProgress decodes the stored form that EncodeProgress returns. It returns
 // an error if b is truncated, has another version or holds a number out of range.
-// Bytes after the record are ignored.
+// Sections that are not known are ignored.
 func DecodeProgress(b []byte) (Progress, error) {
 	d := decoder{b: b}
 	if v := d.readVarint(); v != codecVersion {
@@ -77,6 +110,9 @@
 	for n := d.readBounded(int64(len(b))); n > 0 && d.err == nil; n-- {
 		p.Rounds = append(p.Rounds, d.readRound())
 	}
+	if d.err == nil && len(d.b) > 0 && d.readVarint() == sectionCrashes {
+		d.readCrashes(&p)
+	}
 	return p, d.err
 }
 
@@ -153,3 +189,22 @@
 		t.Incarnation = d.readVarint()
 	}
 }
+
+func (d *decoder) readCrashes(p *Progress) {
+	for n := d.readBounded(int64(len(d.b))); n > 0 && d.err == nil; n-- {
+		round := d.readBounded(int64(len(p.Rounds)) - 1)
+		if d.err != nil {
+			return
+		}
+		steps := p.Rounds[round].Steps
+		step := d.readBounded(int64(len(steps)) - 1)
+		if d.err != nil {
+			return
+		}
+		i := d.readBounded(int64(len(steps[step])) - 1)
+		score := int(d.readBounded(maxCrashScore))
+		if d.err == nil {
+			steps[step][i].CrashScore = score
+		}
+	}
+}
--- a/internal/state/flow/flow_test.go
+++ b/internal/state/flow/flow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -72,6 +73,7 @@
 				tasks[i] = Task{
 					Phase: Phase(rapid.IntRange(0, int(Done)).Draw(t, "phase")), Run: rapid.IntRange(0, 99).Draw(t, "run"),
 					FailedRuns: rapid.IntRange(0, 9).Draw(t, "fails"), LastFailedRun: rapid.IntRange(0, 9).Draw(t, "failed"), Saved: names.Draw(t, "saved"),
+					CrashScore: max(rapid.IntRange(-3, 4).Draw(t, "crashes"), 0),
 				}
 				if tasks[i].Phase == Placed {
 					tasks[i].Worker, tasks[i].Incarnation = names.Draw(t, "worker"), rapid.Int64().Draw(t, "boot")
@@ -115,11 +117,45 @@
 	}
 }
 
+// TestCrashScoresDoNotChangeEarlierForm guards against progress that instances of
+// the version before the crash scores can't read, or whose progress can't be read:
+// they ignore what follows the rounds.
+func TestCrashScoresDoNotChangeEarlierForm(t *testing.T) {
+	is := is.New(t)
+	// Version 1, state active, round 0 with two tasks: placed in run 2, and done.
+	earlier := []byte{2, 2, 0, 2, 2, 0, 2, 4, 2, 4, 0, 0, 0, 6, 'i', '-', '1', 10, 4, 2, 0, 0, 1}
+	p, err := DecodeProgress(earlier)
+	is.NoErr(err)
+	is.Equal(p, Progress{State: Active, NextRound: 1, Rounds: []*Round{{Steps: [][]Task{{{Phase: Placed, Run: 2, Worker: "i-1", Incarnation: 5}, {Phase: Done, Run: 1}}}, Unfinished: 1}}})
+	is.Equal(EncodeProgress(nil, &p), earlier)
+	p.Rounds[0].Steps[0][0].CrashScore = 2
+	data := EncodeProgress(nil, &p)
+	is.True(len(data) > len(earlier))
+	is.Equal(data[:len(earlier)], earlier)
+	got, err := DecodeProgress(data)
+	is.NoErr(err)
+	is.Equal(got, p)
+	for n := len(earlier) + 1; n < len(data); n++ {
+		_, err := DecodeProgress(data[:n])
+		is.True(err != nil)
+	}
+	for _, tail := range [][]byte{{2, 2, 2, 0, 0, 4}, {2, 2, 0, 2, 0, 4}, {2, 2, 0, 0, 4, 4}, {2, 2, 0, 0, 0, 1}, {2, 0xff, 0xff, 0x7f}} {
+		_, err := DecodeProgress(append(slices.Clone(earlier), tail...))
+		is.True(err != nil) // index, score or count out of range
+	}
+	p.Rounds[0].Steps[0][0].CrashScore = 0
+	got, err = DecodeProgress(append(slices.Clone(earlier), 4, 7, 7)) // a section of a later version
+	is.NoErr(err)
+	is.Equal(got, p)
+}
+
 // FuzzDecodeProgress guards against a panic on arbitrary bytes, and against
 // accepted progress that can't be stored and read again.
 func FuzzDecodeProgress(f *testing.F) {
 	p := Progress{State: Active, Rounds: []*Round{NewRound(&Spec{Steps: []Step{{Count: 3}}}, 0)}}
 	f.Add(EncodeProgress(nil, &p))
+	p.Rounds[0].Steps[0][1].CrashScore = 2
+	f.Add(EncodeProgress(nil, &p))
 	f.Add([]byte{2, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		p, err := DecodeProgress(data)
--- a/internal/state/flow/progress.go
+++ b/internal/state/flow/progress.go
@@ -50,6 +50,9 @@
 	// LastFailedRun is the number of the newest run counted in FailedRuns. A gang
 	// whose tasks fail together in one run thereby counts one failure.
 	LastFailedRun int
+	// CrashScore is the weight of what speaks for that the task crashes the workers
+	// that start it.
+	CrashScore int
 }
 
 // Round is one pass over the job's steps.
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -76,6 +76,9 @@
 	if st.Gang && p.now.Before(c.worker.suspectUntil) {
 		return false // one failed member fails the whole gang
 	}
+	if ps.suspect && c.worker.hasSuspectOfOtherJob(ps.job) {
+		return false
+	}
 	if st.Filling && c.worker.throttle.speedPercent() < minPlacementPercent {
 		return false
 	}
--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -1,6 +1,14 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// maxCrashScore is the crash score at which a task is given up: two certain
+// crashes right after its start, or four that may have another cause.
+const maxCrashScore = 4
 
 // Bounds of the time that a run had been at work when its worker was last heard
 // from before a crash.
@@ -40,10 +48,23 @@
 	return crashOld
 }
 
+// crashScore returns what a crash adds to the score of a task.
+func crashScore(age crashAge, certain bool) int {
+	score := 0
+	if certain {
+		score++
+	}
+	if age == crashFresh {
+		score++
+	}
+	return score
+}
+
 // recordCrash records that the worker has crashed under its runs, except those
-// that were sent to the given incarnation. The crash is certain if another
-// worker or incarnation answers in its place, and otherwise may be a cut of which
-// the worker's leases have expired.
+// that were sent to the given incarnation, and gives up the tasks that seem to
+// crash their workers. The crash is certain if another worker or incarnation
+// answers in its place, and otherwise may be a cut of which the worker's leases
+// have expired.
 func (e *Engine) recordCrash(now time.Time, w *worker, incarnation int64, certain bool) {
 	var crashed []*run
 	var lastStart time.Time
@@ -68,5 +89,63 @@
 			seen = max(w.lastContact.Sub(r.startedAt), 0)
 		}
 		e.addEvent("worker-crashed", r.id, r.number, w.ID, detail+", "+crashAgeNames[age], seen)
+		e.addCrashScore(now, r, age, crashScore(age, certain))
+	}
+}
+
+// addCrashScore adds to the crash score of a run's task, and fails its job if
+// that reaches maxCrashScore.
+func (e *Engine) addCrashScore(now time.Time, r *run, age crashAge, score int) {
+	t := r.task
+	if r.job.State.Final() || t.Phase != flow.Placed {
+		return
+	}
+	if age == crashOld && r.job.Steps[r.id.Step].LongRunning {
+		// It has worked, and in time any worker crashes.
+		score = -t.CrashScore
+	}
+	if score == 0 || age > crashFresh && r.stopReason != "" {
+		return
+	}
+	t.CrashScore += score
+	e.unsavedJobs[r.job] = true
+	if t.CrashScore >= maxCrashScore {
+		e.addEvent("given-up", r.id, r.number, r.worker.ID, "workers crash under it", now.Sub(r.placedAt))
+		e.finishJob(now, r.job, flow.Failed)
+	}
+}
+
+// splitSuspects returns the tasks among the given ones of a step that have no
+// crash score, and those that have one. A gang starts as a whole, so all its
+// tasks are suspect if one is.
+func splitSuspects(tasks []flow.Task, indexes []int, gang bool) (plain, suspect []int) {
+	for _, i := range indexes {
+		if tasks[i].CrashScore > 0 {
+			suspect = append(suspect, i)
+		}
+	}
+	switch {
+	case len(suspect) == 0:
+		return indexes, nil
+	case gang:
+		return nil, indexes
+	}
+	for _, i := range indexes {
+		if tasks[i].CrashScore == 0 {
+			plain = append(plain, i)
+		}
+	}
+	return plain, suspect
+}
+
+// hasSuspectOfOtherJob reports whether a run on the worker may crash it, which
+// would count against a suspect task of job j beside it, too. Tasks that had
+// started together on a worker that crashed would otherwise start together again.
+func (w *worker) hasSuspectOfOtherJob(j *job) bool {
+	for _, r := range w.runs {
+		if r.job != j && r.task.CrashScore > 0 && (!r.confirmed || w.lastContact.Sub(r.startedAt) <= youngRunAge) {
+			return true
+		}
 	}
+	return false
 }
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,3 +196,70 @@
 	}
 	is.Equal(len(orders(OrderStart)), 0)
 }
+
+// TestTasksOnCrashingWorkersComplete guards against tasks that are given up
+// because the workers under them crash for another reason, or are only cut off
+// or shut down.
+func TestTasksOnCrashingWorkersComplete(t *testing.T) {
+	tests := []struct {
+		name    string
+		disturb func(s *sim, w *simWorker)
+		scores  bool // tasks may have crash scores afterwards
+	}{
+		{"rack restarts", func(_ *sim, w *simWorker) { w.crash(3 * time.Second) }, true},
+		{"rack is replaced", func(_ *sim, w *simWorker) { w.crashAndReplace(3 * time.Second) }, true},
+		{"rack is cut off", func(s *sim, w *simWorker) {
+			w.partitioned = true
+			s.after(9*time.Second, func() { w.partitioned = false })
+		}, true},
+		{"rack is cut off briefly", func(s *sim, w *simWorker) {
+			w.partitioned = true
+			s.after(3*time.Second, func() { w.partitioned = false })
+		}, false},
+		{"rack is shut down", func(s *sim, w *simWorker) {
+			w.info.Draining = true
+			s.after(2*time.Second, func() { w.crashAndReplace(3 * time.Second) })
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSim(t, 1, 24)
+			s.cutUnlisted = true
+			s.run(time.Second)
+			scored := 0
+			for i := range 240 {
+				if i%60 == 20 {
+					for _, name := range slices.Clone(s.workerNames) {
+						if w := s.workers[name]; w.up && w.info.Rack == "r1-1" {
+							tt.disturb(s, w)
+						}
+					}
+				}
+				if i%2 == 0 {
+					s.submit(newJobSpec(fmt.Sprintf("a%d", i), "q1", taskStep(10, 1500, 800)))
+				}
+				if i%8 == 0 {
+					s.submit(newJobSpec(fmt.Sprintf("b%d", i), "q2", taskStep(10, 3000, 5000)))
+				}
+				s.run(250 * time.Millisecond)
+				for j := range s.engine.liveJobs {
+					for _, r := range j.runs {
+						scored += r.task.CrashScore
+					}
+				}
+			}
+			s.run(30 * time.Second)
+			if len(s.violations) > 0 {
+				t.Errorf("invariant violated: %s", s.violations[0])
+			}
+			if scored > 0 && !tt.scores {
+				t.Errorf("sum of crash scores: got %d, want 0", scored)
+			}
+			for _, id := range s.jobIDs {
+				if st := s.progress(id).State; !s.jobs[id].removed && st != flow.Complete {
+					t.Errorf("job %s: got state %v, want complete", id, st)
+				}
+			}
+		})
+	}
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -121,7 +121,8 @@
 	return false
 }
 
-// pendingStep is a step with tasks that may start.
+// pendingStep is a step with tasks that may start. Of a step with some suspect
+// tasks there are two.
 type pendingStep struct {
 	job       *job
 	round     *flow.Round
@@ -129,6 +130,7 @@
 	idleTasks []int // indexes of the tasks that may start
 	lateness  int   // 0 within its objective, 1 late, 2 too late to be useful
 	priority  int   // of its queue; 0 is the most urgent
+	suspect   bool  // the tasks have crash scores
 	backfills bool  // it may use only what waiting gangs can't
 }
 
@@ -146,8 +148,13 @@
 		found := len(steps)
 		for _, r := range j.Progress.Rounds {
 			for step := range r.Steps {
-				if idle := e.startableTasks(j, r, step); len(idle) > 0 {
-					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: idle, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
+				idle := e.startableTasks(j, r, step)
+				plain, suspect := splitSuspects(r.Steps[step], idle, j.Steps[step].Gang)
+				if len(plain) > 0 {
+					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: plain, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
+				}
+				if len(suspect) > 0 {
+					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: suspect, suspect: true, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
 				}
 			}
 		}
@@ -163,7 +170,8 @@
 }
 
 // before reports whether ps is scheduled before other: by lateness, then
-// priority, then the order in which the jobs arrived, then round and step.
+// priority, then the order in which the jobs arrived, then round and step, then
+// the tasks without crash scores.
 func (ps *pendingStep) before(other *pendingStep) bool {
 	switch {
 	case ps.lateness != other.lateness:
@@ -175,7 +183,10 @@
 	case ps.round != other.round:
 		return ps.round.Number < other.round.Number
 	}
-	return ps.step < other.step
+	if ps.step != other.step {
+		return ps.step < other.step
+	}
+	return !ps.suspect && other.suspect
 }
 
 // latenessOf returns the lateness of a round: 0 within the job's objective or
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -32,6 +32,7 @@
 	batch        *Batch
 	storeDown    bool // the store accepts no append
 	leaderPaused bool // the leader makes no step
+	cutUnlisted  bool // the list lacks workers that are cut off
 	workers      map[string]*simWorker
 	workerNames  []string
 	runWorkers   map[runKey]*simWorker // where a run was started
@@ -266,7 +267,7 @@
 	}
 	var list []WorkerInfo
 	for _, name := range s.workerNames {
-		if w := s.workers[name]; w.up {
+		if w := s.workers[name]; w.up && !(s.cutUnlisted && w.partitioned) {
 			info := w.info
 			info.Incarnation = w.incarnation
 			list = append(list, info)
