state/sched: an unanswered start is not repeated to a restarted worker

What callers may see: a task that crashes its worker before the worker has answered crashes it again with the same run when the worker is back under its ID. Orders name the worker's ID, not its incarnation, so the next incarnation carries the repeated start out.

Now it waits until the worker answers polls again, and is stopped there instead if another incarnation answers. If the worker does not come back, the run ends with its leases, as before.

--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -147,8 +147,12 @@
 		if now.Sub(r.stopSentAt) >= pause {
 			e.sendStop(now, r)
 		}
+	case r.startUnanswered && r.stopReason == "" && !r.worker.reachable():
+		// It may have crashed. A start is not repeated to another incarnation.
 	case r.startUnanswered && r.stopReason == "":
-		if r.startAttempts < maxStartAttempts && (r.ticket == "" || now.Before(r.ticketExpires)) {
+		if r.worker.lastIncarnation != r.incarnation {
+			e.stopRun(now, r, "the start was not answered before the worker restarted")
+		} else if r.startAttempts < maxStartAttempts && (r.ticket == "" || now.Before(r.ticketExpires)) {
 			e.sendStart(now, r)
 		} else {
 			e.stopRun(now, r, "the start was not answered")
