state/sched: a run ends when another worker answers at its worker's address

Cause: the crashed worker's successor answers 3 s later at its address, with another ID, and each poll says so ("other incarnation"); the runs waited for their leases all the same.

Ruled out: giving up the tasks that crash workers. After two crashes they are given up now, and the innocent tasks beside the second one wait as before.

Why it is safe: the worker itself has answered at that address before, and an incarnation is gone once another has its address, so nothing that was sent to it can still be carried out. If the worker has not answered there (an entry of another writer, or a leader that never heard it) its leases decide as before.

Tests, failed first: TestRunsOfReplacedWorkerWaitForLeases, TestOtherAddressEndsNoRuns. In TestTaskThatCrashesWorkersIsGivenUp the leader was lost 4.5 s after the crash, when the task waited for its lease; it is now lost as soon as the score is stored, which a leader that does not store it fails.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -93,6 +93,31 @@
 	}
 }
 
+// handleReplacement handles that another worker or incarnation answers at the
+// address of a worker. If that is where the worker itself has answered, its runs
+// have certainly ended, whatever their leases. An address at which it never
+// answered may come from another writer's entry.
+func (e *Engine) handleReplacement(now time.Time, w *worker, addr string) {
+	if w.hasAnswered() && addr != w.answeredAddr {
+		return
+	}
+	if !w.replaced {
+		w.replaced = true
+		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, AnswerOtherIncarnation.String(), now.Sub(w.lastContact))
+		if !w.Draining {
+			e.recordCrash(now, w, 0, true)
+		}
+	}
+	if !w.hasAnswered() {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		if r.startSent && r.ordersInFlight == 0 {
+			e.endWithoutResult(now, r, "another worker answers at the address")
+		}
+	}
+}
+
 // addCrashScore adds to the crash score of a run's task, and fails its job if
 // that reaches maxCrashScore.
 func (e *Engine) addCrashScore(now time.Time, r *run, age crashAge, score int) {
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -85,7 +85,7 @@
 		name      string
 		how       deadly
 		step      flow.Step
-		lose      time.Duration // after each of the first two crashes the leader is lost this much later; 0: never
+		lose      time.Duration // after each of the first two crashes the leader is lost this much later; 0: never; onceScored: when the crash is stored
 		maxStarts int
 	}{
 		{"worker replaced", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 0, 2},
@@ -94,7 +94,7 @@
 		{"long-running", deadly{after: 10 * time.Millisecond, replaced: true}, longRunningStep(), 0, 2},
 		{"leader lost before the worker is back", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 500 * time.Millisecond, 4},
 		{"leader lost before the restart", deadly{after: 10 * time.Millisecond}, taskStep(1, 2000, 700), 500 * time.Millisecond, 4},
-		{"leader lost before the task starts again", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 4500 * time.Millisecond, 2},
+		{"leader lost before the task starts again", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), onceScored, 2},
 		{"start unanswered", deadly{replaced: true}, taskStep(1, 2000, 700), 0, 5},
 		{"start unanswered, worker restarted", deadly{}, taskStep(1, 2000, 700), 0, 5},
 		{"crash one second later", deadly{after: time.Second, replaced: true}, taskStep(1, 2000, 700), 0, 5},
@@ -111,6 +111,11 @@
 					return
 				}
 				losses++
+				if tt.lose == onceScored {
+					s.allowedShare = 0 // the task starts again under the next leader only
+					s.loseLeaderOnceScored("deadly", s.storedCrashScore("deadly"))
+					return
+				}
 				s.after(tt.lose, func() { s.engine = nil })
 				s.after(tt.lose+time.Second, s.startLeader)
 			}
@@ -142,6 +147,36 @@
 	}
 }
 
+// onceScored makes the leader be lost as soon as the crash score is stored.
+const onceScored = time.Duration(-1)
+
+// storedCrashScore returns the stored crash score of a job's first task.
+func (s *sim) storedCrashScore(id string) int {
+	p := s.progress(id)
+	if len(p.Rounds) == 0 {
+		return 0
+	}
+	return p.Rounds[0].Steps[0][0].CrashScore
+}
+
+// loseLeaderOnceScored makes the leader be lost for a second once the stored
+// crash score of a job's first task exceeds the given one. The next leader finds
+// workers allowed.
+func (s *sim) loseLeaderOnceScored(id string, score int) {
+	if s.storedCrashScore(id) <= score {
+		s.after(5*time.Millisecond, func() { s.loseLeaderOnceScored(id, score) })
+		return
+	}
+	if p := s.progress(id); !p.State.Final() && p.Rounds[0].Steps[0][0].Phase != flow.Idle {
+		s.t.Errorf("phase of the task of job %s when its crash score is stored: got %d, want idle", id, p.Rounds[0].Steps[0][0].Phase)
+	}
+	s.engine = nil
+	s.after(time.Second, func() {
+		s.allowedShare = 1
+		s.startLeader()
+	})
+}
+
 func longRunningStep() flow.Step {
 	st := taskStep(1, 2000, 700)
 	st.LongRunning = true
--- /dev/null
+++ b/internal/state/sched/replaced_test.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
+
+// TestRunsOfReplacedWorkerWaitForLeases guards against tasks that stay idle until
+// their leases expire although another worker already answers at the address of
+// theirs.
+func TestRunsOfReplacedWorkerWaitForLeases(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 4)
+	s.run(time.Second)
+	s.submit(newJobSpec("a", "q1", taskStep(1, 2000, 5000)))
+	s.run(time.Second)
+	task := func() *flow.Task { return &s.engine.jobs["a"].Progress.Rounds[0].Steps[0][0] }
+	is.Equal(task().Phase, flow.Placed)
+	is.Equal(task().Run, 1)
+	s.workers[task().Worker].crashAndReplace(2 * time.Second)
+	s.run(2*time.Second + maxPollRetryPause + 500*time.Millisecond)
+	is.Equal(task().Phase, flow.Placed)
+	is.Equal(task().Run, 2)
+	s.run(20 * time.Second)
+	is.Equal(s.violations, nil)
+	is.Equal(s.progress("a").State, flow.Complete)
+}
+
+// TestOtherAddressEndsNoRuns guards against runs that are taken for ended because
+// an entry of another writer gives their worker the address of another one.
+func TestOtherAddressEndsNoRuns(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
+	e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
+	poll := func(addr string) Order {
+		now = now.Add(time.Second)
+		e.SetWorkers(now, []WorkerInfo{{ID: "w", Addr: addr, Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
+		e.Tick(now)
+		for _, o := range e.TakeOutput().Orders {
+			if o.Kind == OrderPoll {
+				return o
+			}
+		}
+		t.Fatal("got no poll")
+		return Order{}
+	}
+	e.HandlePollReport(now, poll("a:1"), Report{Incarnation: 1})
+	e.AddJob(now, &flow.Job{Spec: &flow.Spec{ID: "a", Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}})
+	e.Schedule(now)
+	e.HandleCommit(now, e.Batch())
+	orders := e.TakeOutput().Orders
+	is.Equal(len(orders), 1)
+	is.Equal(orders[0].Kind, OrderStart)
+	e.HandleStartAnswer(now, orders[0], AnswerOK, 0)
+
+	e.HandlePollFailure(now, poll("a:1"), AnswerNone, 0)
+	e.HandlePollFailure(now, poll("b:1"), AnswerOtherIncarnation, 0)
+	is.Equal(len(e.workers["w"].runs), 1)
+	e.HandlePollFailure(now, poll("a:1"), AnswerOtherIncarnation, 0)
+	is.Equal(len(e.workers["w"].runs), 0)
+}
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -72,12 +72,8 @@
 		e.addEvent("worker-silent", TaskID{}, 0, w.ID, a.String(), took)
 	}
 	w.failedPolls++
-	if a == AnswerOtherIncarnation && !w.replaced {
-		w.replaced = true
-		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, a.String(), now.Sub(w.lastContact))
-		if !w.Draining {
-			e.recordCrash(now, w, 0, true)
-		}
+	if a == AnswerOtherIncarnation {
+		e.handleReplacement(now, w, o.Addr)
 	}
 	pause := min(pollRetryPause<<min(w.failedPolls-1, 4), maxPollRetryPause)
 	w.nextPoll = now.Add(pause)
@@ -107,7 +103,7 @@
 		w.throttle = throttle{}
 		e.restoreWorkerEstimates(w)
 	}
-	w.clock, w.clockReadAt = report.Clock, now
+	w.clock, w.clockReadAt, w.answeredAddr = report.Clock, now, o.Addr
 	if first {
 		e.index.update(w)
 	}
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -68,6 +68,7 @@
 	nextPoll       time.Time
 	failedPolls    int // failed polls since the last report, or since its entry changed
 	lastContact    time.Time
+	answeredAddr   string          // address at which it last answered a poll, empty before the first answer
 	replaced       bool            // another worker or incarnation has answered at its address since the last report
 	leasesExpireBy time.Time       // every lease granted to it has expired by then
 	leasesExpired  bool            // all its leases have expired, so no earlier run still runs
