coordination/leader, state: a task that crashes its workers is given up

What operators saw on the path of `serve`: a batch or gang task, or a replica of a service, that crashes the worker which starts it was started again on the next worker without end, and with it everything else that ran there was lost.

Cause: the loss of a worker leaves no result. Its attempts end as lost, which counts neither against the job's retries nor against the worker or the job.

Ruled out: the retries (100 were allowed; none was used up), a second start of the same attempt (attempt numbers rose), and the attribution of failures, which sees only attempts that end as failed.

Now the loss of a worker right after a start is counted in the task, in the domain's state, so that the next leader goes on counting. It is a crash of the task if the worker certainly restarted and had just started tasks of no other job. A batch task is then started alone, so that the next loss can be attributed to it and not to tasks beside it; a batch or gang task is given up after two such losses of which one was a crash, or five in all. A replica is started again after growing pauses, as operators know from other schedulers. The record that gives a task up is new; a leader appends it only while all living members apply it (work.Format), and holds the task back until then.

Conclusion: no task crashes more than five workers right after its start, and not more than two if their restarts show that it did.

--- a/internal/coordination/leader/batch.go
+++ b/internal/coordination/leader/batch.go
@@ -71,7 +71,7 @@
 
 func isEmpty(b *work.Batch) bool {
 	return len(b.Create)+len(b.Resize)+len(b.Cancel)+len(b.Assign)+len(b.End)+len(b.Reject)+
-		len(b.SetReason)+len(b.Grant)+len(b.Revoke)+len(b.Ack)+len(b.Remove) == 0
+		len(b.SetReason)+len(b.GiveUp)+len(b.Grant)+len(b.Revoke)+len(b.Ack)+len(b.Remove) == 0
 }
 
 // buildBatch returns the leader's decisions since the last batch.
@@ -115,6 +115,8 @@
 	l := d.leadership
 	b.Reject = l.refusals
 	l.refusals = nil
+	b.GiveUp = l.giveUps
+	l.giveUps = nil
 	for id, reason := range l.pendingReasons {
 		if j := d.state.Jobs[id]; j != nil && j.Reason != reason {
 			b.SetReason = append(b.SetReason, work.JobReason{Job: id, Reason: reason})
@@ -168,7 +170,7 @@
 func (d *Domain) addProbe(b *work.Batch, ws *workerSession, now time.Time) {
 	eligible := func(it place.Item) bool {
 		_, atFault := d.leadership.attribution.JobExcluded(it.Ref.Job)
-		return !atFault
+		return !atFault && !it.Alone
 	}
 	for _, p := range d.leadership.engine.Probe(ws.name, now, eligible) {
 		d.leadership.attribution.ProbeStarted(ws.name, p.Item.Ref)
--- a/internal/coordination/leader/commit.go
+++ b/internal/coordination/leader/commit.go
@@ -99,6 +99,7 @@
 		t := j.Tasks[ref.Index]
 		s := ws.trackStart(ref, t.Attempt)
 		s.inFlight = true
+		d.startedAt[ref] = now
 		tasks = append(tasks, StartTask{
 			Attempt: Attempt{ref, t.Attempt}, Size: j.Spec.Size, Lease: d.taskLease(j), Command: j.Spec.Command,
 			RunTime: time.Duration(j.Spec.RunMs) * time.Millisecond,
--- a/internal/coordination/leader/domain.go
+++ b/internal/coordination/leader/domain.go
@@ -73,7 +73,8 @@
 	joinSentAt       time.Time   // when the last join record was sent
 	noClaimBefore    time.Time   // promised to the leader: no claim before this time
 	lastClaim        sentClaim
-	ownershipUntil   time.Time // promised by the leader: this member's minions are not assigned to others before
+	startedAt        map[work.TaskRef]time.Time // start of each assigned task, of those that this instance has seen
+	ownershipUntil   time.Time                  // promised by the leader: this member's minions are not assigned to others before
 	leaving          bool
 	wg               *parts.Group // all goroutines of the domain
 	ctx              context.Context
@@ -81,7 +82,7 @@
 
 // New returns a domain without any state. Run must be called to read it.
 func New(cfg Config) *Domain {
-	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), done: make(chan struct{}), wake: make(chan struct{}, 1), wg: parts.New()}
+	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), startedAt: map[work.TaskRef]time.Time{}, done: make(chan struct{}), wake: make(chan struct{}, 1), wg: parts.New()}
 	sm := stream.StateMachine{Apply: d.apply, Snapshot: d.Snapshot, Load: d.load, Offset: d.offset, Fetch: cfg.Fetch}
 	name := StreamName(cfg.Domain)
 	d.stream = stream.New(stream.FollowerConfig{
@@ -177,6 +178,7 @@
 		d.handleClaim(*r.Claim, received)
 	case r.Batch != nil:
 		d.lastLeaderRecord = received
+		d.recordStarts(r.Batch, received)
 		d.handleBatch(r.Batch, received)
 	case r.Join != nil && r.Join.ID == d.cfg.Member:
 		d.joinedAt = received
@@ -210,6 +212,7 @@
 		return err
 	}
 	now := d.cfg.Now()
+	clear(d.startedAt)
 	d.lastLeaderRecord, d.peerDiedAt = now, now
 	if _, ok := d.state.Members[d.cfg.Member]; ok {
 		d.joinedAt = now
--- a/internal/coordination/leader/election.go
+++ b/internal/coordination/leader/election.go
@@ -34,7 +34,7 @@
 		return
 	}
 	d.joinSentAt = now
-	m := work.Member{ID: d.cfg.Member, Instance: d.cfg.Instance, Addr: d.cfg.Addr, AtMs: now.UnixMilli()}
+	m := work.Member{ID: d.cfg.Member, Instance: d.cfg.Instance, Addr: d.cfg.Addr, Format: work.Format, AtMs: now.UnixMilli()}
 	d.appendRecord(work.Record{Join: &m})
 }
 
--- a/internal/coordination/leader/leadership.go
+++ b/internal/coordination/leader/leadership.go
@@ -37,7 +37,9 @@
 	unplaceable       []place.Item      // exceeded the capacity of the workers known when they were queued
 	deferred          []place.Item      // can't run now; retried every deferredRetryInterval
 	deferredRetriedAt time.Time
-	grantableFrom     map[string]time.Time // by minion without an owner: earliest time of its next grant
+	giveUps           []work.GiveUp              // to go into a batch
+	pausedFrom        map[work.TaskRef]time.Time // by replica: start of its pause
+	grantableFrom     map[string]time.Time       // by minion without an owner: earliest time of its next grant
 	lastDone          periodicTimes
 	cancel            context.CancelFunc
 	ctx               context.Context
@@ -65,10 +67,10 @@
 	l := &leadership{
 		term: d.state.Term, startedAt: now, promises: map[string]time.Time{}, ownershipUntil: map[string]time.Time{},
 		engine: place.NewEngine(place.Config{
-			Fit: place.FitSpareAccelerators, Order: place.OrderFair, AgingThreshold: agingThreshold, ReserveAfter: reservationDelay,
+			Fit: place.FitSpareAccelerators, Order: place.OrderFair, AgingThreshold: agingThreshold, ReserveAfter: reservationDelay, AloneFor: aloneFor,
 		}),
 		attribution: place.NewFailureAttribution(), sessions: map[string]*workerSession{}, allocations: map[work.TaskRef]allocation{}, unrecordedEnds: map[work.TaskRef]work.End{},
-		pendingReasons: map[string]string{}, grantableFrom: map[string]time.Time{}, cancel: cancel, ctx: ctx,
+		pendingReasons: map[string]string{}, grantableFrom: map[string]time.Time{}, pausedFrom: map[work.TaskRef]time.Time{}, cancel: cancel, ctx: ctx,
 	}
 	l.leaderLease.Renew(claimSent)
 	l.engine.Wanted = d.stillPending
@@ -78,6 +80,9 @@
 			j := d.state.Jobs[ref.Job]
 			l.engine.RecordAllocation(worker, j.Spec.Tenant, ref, p.Size, time.Time{})
 			l.allocations[ref] = allocation{worker, j.Spec.Tenant, p.Size}
+			if w := l.engine.Worker(worker); d.startedAt[ref].After(w.LastStart) {
+				w.LastStart = d.startedAt[ref]
+			}
 		}
 	}
 	d.state.TakeNewlyPending()
@@ -132,6 +137,7 @@
 	it := place.Item{
 		Ref: ref, TaskCount: 1, Size: j.Spec.Size, Tenant: j.Spec.Tenant, Class: j.Spec.Class,
 		Queued: time.UnixMilli(j.QueuedMs), RunTime: time.Duration(j.Spec.RunMs) * time.Millisecond,
+		Alone: startsAlone(j, ref.Index),
 	}
 	if it.Queued.After(now) {
 		it.Queued = now
@@ -142,7 +148,8 @@
 	d.admit(it, now)
 }
 
-// admit adds an item to the engine's queue. An item of a job that is at fault
+// admit adds an item to the engine's queue. An item whose workers were lost right
+// after its starts may be held back. An item of a job that is at fault
 // itself is deferred until its next probe, with the reason noted. An item that
 // exceeds the capacity of the known workers goes to the unplaceable items.
 func (d *Domain) admit(it place.Item, now time.Time) {
@@ -152,6 +159,9 @@
 		l.pendingReasons[it.Ref.Job] = "fails on every worker it was tried on; tried again later"
 		return
 	}
+	if d.holdBack(it, now) {
+		return
+	}
 	if l.engine.UnplaceableReason(it) != "" {
 		l.unplaceable = append(l.unplaceable, it)
 		return
--- a/internal/coordination/leader/session.go
+++ b/internal/coordination/leader/session.go
@@ -26,11 +26,13 @@
 	synced           bool      // it has reported to this leader what it runs, and has answered since
 	unreachableSince time.Time // since when synced is unset; not used while it is set
 	incarnation      string
-	ackedEnd         uint64    // ends up to this number are in the log
-	inventoryVersion uint64    // 0 asks for the full inventory
-	fullInventoryAt  time.Time // when the last full inventory was received
-	leasesRenewedAt  time.Time // when the last renewal or start was sent; at first the start of the term
-	lastDeclared     work.Size // declared sizes of what ran on it at the last inventory
+	ackedEnd         uint64          // ends up to this number are in the log
+	inventoryVersion uint64          // 0 asks for the full inventory
+	fullInventoryAt  time.Time       // when the last full inventory was received
+	answeredAt       time.Time       // when it last answered; at first the start of the session
+	expiredEarly     map[string]bool // jobs with attempts that expired early since it last answered
+	leasesRenewedAt  time.Time       // when the last renewal or start was sent; at first the start of the term
+	lastDeclared     work.Size       // declared sizes of what ran on it at the last inventory
 	starts           map[work.TaskRef]*startStatus
 	cancel           context.CancelFunc
 }
@@ -57,7 +59,7 @@
 func (d *Domain) newSession(inst member.Instance, now time.Time) *workerSession {
 	l := d.leadership
 	ctx, cancel := context.WithCancel(l.ctx)
-	ws := &workerSession{name: inst.Name, addr: inst.Addr, unreachableSince: now, leasesRenewedAt: l.startedAt, starts: map[work.TaskRef]*startStatus{}, cancel: cancel}
+	ws := &workerSession{name: inst.Name, addr: inst.Addr, unreachableSince: now, answeredAt: now, expiredEarly: map[string]bool{}, leasesRenewedAt: l.startedAt, starts: map[work.TaskRef]*startStatus{}, cancel: cancel}
 	for ref, p := range d.state.TasksByWorker[inst.Name] {
 		// An earlier leader may have sent the start; the worker's inventory shows it.
 		ws.trackStart(ref, p.Attempt)
@@ -116,6 +118,9 @@
 		return req, ws.addr, now // no wait: the full inventory is needed at once
 	}
 	req.Wait = min(maxInventoryWait, d.cfg.LeaseDurations.TaskLease/4)
+	if d.hasEarlyAttempts(ws) {
+		req.Wait = min(req.Wait, earlySyncWait)
+	}
 	if now.Sub(ws.fullInventoryAt) > fullInventoryInterval {
 		req.KnownVersion = 0
 	}
@@ -148,6 +153,7 @@
 	}
 	if reply.Unchanged {
 		ws.synced = true
+		ws.answeredAt = now
 		return
 	}
 	ws.fullInventoryAt = now
@@ -156,6 +162,8 @@
 	ws.synced = true
 	d.handleEnded(ws, reply, now)
 	d.reconcileInventory(ws, reply, sentAt, restarted)
+	ws.answeredAt = now
+	clear(ws.expiredEarly)
 	d.wakeLoop()
 }
 
@@ -269,6 +277,10 @@
 // about a wanted attempt whose start was acknowledged after the request was
 // sent.
 func (d *Domain) classifyMissing(ws *workerSession, reported map[work.TaskRef]bool, sentAt time.Time, restarted bool) (toStart []work.TaskRef, toStop []Attempt) {
+	soleJob := ""
+	if restarted {
+		soleJob = d.soleEarlyJob(ws)
+	}
 	for ref, p := range d.state.TasksByWorker[ws.name] {
 		if reported[ref] {
 			continue
@@ -277,8 +289,11 @@
 		s := ws.trackStart(ref, p.Attempt)
 		switch {
 		case s.inFlight:
-		case restarted, s.answered && sentAt.After(s.returnedAt):
-			d.queueLost(ref, p.Attempt)
+		case restarted:
+			early := d.isEarly(ws, ref)
+			d.queueLost(ws, work.End{Task: ref, Attempt: p.Attempt, Early: early, Crashed: early && ref.Job == soleJob})
+		case s.answered && sentAt.After(s.returnedAt):
+			d.queueLost(ws, work.End{Task: ref, Attempt: p.Attempt})
 		case !j.ShouldRun(ref.Index):
 			toStop = append(toStop, Attempt{ref, p.Attempt})
 		case !s.answered:
@@ -290,12 +305,16 @@
 
 // queueLost queues the end of an attempt as lost. The attempt must certainly
 // have ended, or belong to a service.
-func (d *Domain) queueLost(ref work.TaskRef, attempt int) {
+func (d *Domain) queueLost(ws *workerSession, e work.End) {
 	l := d.leadership
-	if _, queued := l.unrecordedEnds[ref]; queued || d.pendingBatchEnds(Attempt{ref, attempt}) {
+	if _, queued := l.unrecordedEnds[e.Task]; queued || d.pendingBatchEnds(Attempt{e.Task, e.Attempt}) {
 		return
 	}
-	l.unrecordedEnds[ref] = work.End{Task: ref, Attempt: attempt, Outcome: work.OutcomeLost}
+	e.Outcome = work.OutcomeLost
+	l.unrecordedEnds[e.Task] = e
+	if e.Early {
+		d.logEarlyLoss(ws, e)
+	}
 }
 
 // expireAttempts ends the attempts on workers that don't answer: those of
@@ -315,7 +334,11 @@
 		for ref, p := range d.state.TasksByWorker[ws.name] {
 			exclusive := d.state.Jobs[ref.Job].Exclusive()
 			if exclusive && leasesExpired || !exclusive && unresponsive {
-				d.queueLost(ref, p.Attempt)
+				early := d.isEarly(ws, ref)
+				if early {
+					ws.expiredEarly[ref.Job] = true
+				}
+				d.queueLost(ws, work.End{Task: ref, Attempt: p.Attempt, Early: early})
 			}
 		}
 	}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -58,6 +58,7 @@
 	leaseDuration time.Duration
 	endsAt        time.Time // zero for services
 	fails         bool      // ends as failed instead of done
+	crashesAt     time.Time // when it crashes the worker; zero for never
 }
 
 // ended is an attempt that has ended.
@@ -86,6 +87,9 @@
 	reportedUsage    work.Size
 	usageReportedAt  time.Time
 	failAll          bool
+	crashes          int           // by tasks
+	downtime         time.Duration // after a crash
+	downUntil        time.Time     // end of the downtime; zero unless down after a crash
 	changed          chan struct{} // closed and replaced when inventoryVersion rises
 	history          []Event
 	checkpoints      map[attemptID]time.Duration // run time left at the newest checkpoint; the attempt number is 0
@@ -96,7 +100,7 @@
 func New(cfg Config) *Worker {
 	w := &Worker{
 		cfg: cfg, done: make(chan struct{}), stop: make(chan struct{}), tasks: map[attemptID]*task{}, ended: map[attemptID]*ended{},
-		changed: make(chan struct{}), inventoryVersion: 1, checkpoints: map[attemptID]time.Duration{},
+		changed: make(chan struct{}), inventoryVersion: 1, downtime: defaultDowntime, checkpoints: map[attemptID]time.Duration{},
 	}
 	go w.loop()
 	return w
@@ -218,6 +222,9 @@
 		started.fails = true
 		started.endsAt = now
 	}
+	if t.Command == CommandCrash {
+		started.crashesAt = now.Add(crashDelay)
+	}
 	w.tasks[id] = started
 	w.used = w.used.Add(t.Size)
 	w.peak = w.peak.Max(w.used)
@@ -424,6 +431,7 @@
 			return
 		case now := <-t.C:
 			w.endTasks(now)
+			w.crashIfDue(now)
 		}
 	}
 }
--- a/internal/state/place/engine.go
+++ b/internal/state/place/engine.go
@@ -15,6 +15,10 @@
 	Unrecorded  work.Size // size of tasks it runs that are not allocated to it in the log's records
 	Overuse     work.Size // measured usage above the declared sizes
 	Schedulable bool      // new work may be placed on it
+	LastStart   time.Time // when a task was last placed on it
+
+	heldFor   work.TaskRef // item for which other items are kept off it
+	heldUntil time.Time
 }
 
 // free returns the capacity available to new work.
@@ -44,6 +48,7 @@
 	Class     string
 	Queued    time.Time
 	RunTime   time.Duration // declared run time; 0 when unknown
+	Alone     bool          // a single task to place where no other task starts within Config.AloneFor before or after
 }
 
 // Placement is the decision to start an item's tasks on workers. Workers has
@@ -66,6 +71,7 @@
 	Order          string        // one of the Order constants
 	AgingThreshold time.Duration // items pending longer than this get one pick in agedPickInterval
 	ReserveAfter   time.Duration // an item that fits nowhere for this long gets a reservation; 0 disables reservations
+	AloneFor       time.Duration // see Item.Alone
 	Seed           uint64        // for FitRandom
 }
 
@@ -175,6 +181,9 @@
 		e.allocations[worker] = list[:len(list)-1]
 		e.dirty = true
 		w := e.Worker(worker)
+		if w.heldFor == ref {
+			w.heldUntil = time.Time{}
+		}
 		w.Allocated = w.Allocated.Sub(size)
 		t := e.tenantFor(tenant)
 		t.used = t.used.Sub(size)
@@ -242,9 +251,8 @@
 		it := q.items[i]
 		workers := e.chooseWorkers(it, now)
 		if workers == nil {
-			r.recordFailedFit(it)
 			q.cursor = i + 1
-			e.maybeReserve(it, now)
+			e.handleFailedFit(r, it)
 			continue
 		}
 		q.removeAt(i)
@@ -256,6 +264,18 @@
 	return out
 }
 
+// handleFailedFit holds a worker or reserves capacity for an item that could not
+// be placed.
+func (e *Engine) handleFailedFit(r *round, it Item) {
+	if it.Alone && e.holdWorker(it, r.now) {
+		return
+	}
+	if !it.Alone {
+		r.recordFailedFit(it)
+	}
+	e.maybeReserve(it, r.now)
+}
+
 // allocate records the placement of an item. The item's reservation, if it has
 // one, ends.
 func (e *Engine) allocate(it Item, workers []string, now time.Time) {
@@ -269,6 +289,10 @@
 	for i, w := range workers {
 		ref := work.TaskRef{Job: it.Ref.Job, Index: it.Ref.Index + i}
 		e.RecordAllocation(w, it.Tenant, ref, it.Size, end)
+		e.Worker(w).LastStart = now
+		if it.Alone {
+			e.Worker(w).hold(ref, now.Add(e.cfg.AloneFor))
+		}
 	}
 }
 
--- a/internal/state/place/engine_test.go
+++ b/internal/state/place/engine_test.go
@@ -12,9 +12,11 @@
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
+const aloneFor = 5 * time.Second
+
 // newEngine returns an engine with schedulable workers of 8 cores each.
 func newEngine(workers int) *place.Engine {
-	e := place.NewEngine(place.Config{Fit: place.FitSpareAccelerators, Order: place.OrderFair, AgingThreshold: time.Minute, ReserveAfter: 10 * time.Second})
+	e := place.NewEngine(place.Config{Fit: place.FitSpareAccelerators, Order: place.OrderFair, AgingThreshold: time.Minute, ReserveAfter: 10 * time.Second, AloneFor: aloneFor})
 	for n := range workers {
 		name := fmt.Sprintf("w%d", n)
 		e.SetCapacity(name, "r", work.Size{CPU: 8000, Memory: 8000})
--- a/internal/state/place/fit.go
+++ b/internal/state/place/fit.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		free := w.free()
-		if !it.Size.FitsIn(free) || e.usesReservation(w, it, free, now) {
+		if !it.Size.FitsIn(free) || e.usesReservation(w, it, free, now) || e.isolates(w, it, now) {
 			continue
 		}
 		if e.cfg.Fit == FitFirst {
@@ -84,7 +84,7 @@
 			continue
 		}
 		free := w.free()
-		if it.Size.FitsIn(free) && !e.usesReservation(w, it, free, now) {
+		if it.Size.FitsIn(free) && !e.usesReservation(w, it, free, now) && !e.isolates(w, it, now) {
 			return w
 		}
 	}
--- a/internal/state/place/queue.go
+++ b/internal/state/place/queue.go
@@ -99,6 +99,9 @@
 // knownNotToFit reports whether an item that did not fit in this round has at
 // most as many tasks as it, each of at most its size.
 func (r *round) knownNotToFit(it Item) bool {
+	if it.Alone {
+		return false // a worker may be held for it
+	}
 	for i := range r.failedFits {
 		f := &r.failedFits[i]
 		if f.TaskCount <= it.TaskCount && f.Size.FitsIn(it.Size) {
--- a/internal/state/work/record.go
+++ b/internal/state/work/record.go
@@ -1,5 +1,10 @@
 package work
 
+// Format is the newest format of records. A leader appends what a format has
+// added only while all living members apply that format, since the state of the
+// others would differ. Format 1 adds Batch.GiveUp.
+const Format = 1
+
 // Record is one record of a domain's stream. Exactly one field is set.
 type Record struct {
 	Claim    *Claim    `json:"claim,omitempty"`
@@ -24,11 +29,12 @@
 // minions. Two processes can't listen on one address, so a new member proves that
 // an older one with the same Addr is dead.
 type Member struct {
-	ID       string `json:"member"`          // member ID, unique for each incarnation
-	Instance string `json:"instance"`        // name of the instance
-	Addr     string `json:"addr"`            // address of the process
-	Acked    bool   `json:"acked,omitempty"` // the leader relies on its promises not to claim the leadership
-	Dead     bool   `json:"dead,omitempty"`  // the process of this incarnation has certainly ended
+	ID       string `json:"member"`           // member ID, unique for each incarnation
+	Instance string `json:"instance"`         // name of the instance
+	Addr     string `json:"addr"`             // address of the process
+	Acked    bool   `json:"acked,omitempty"`  // the leader relies on its promises not to claim the leadership
+	Dead     bool   `json:"dead,omitempty"`   // the process of this incarnation has certainly ended
+	Format   int    `json:"format,omitempty"` // newest format of records that its program applies; see Format
 	AtMs     int64  `json:"at-unix-ms"`
 }
 
@@ -74,6 +80,7 @@
 	End           []End       `json:"end,omitempty"`
 	Reject        []JobReason `json:"refuse,omitempty"`  // jobs that can never run
 	SetReason     []JobReason `json:"explain,omitempty"` // why jobs are still pending
+	GiveUp        []GiveUp    `json:"give-up,omitempty"` // pending tasks that are not started again
 	Grant         []Grant     `json:"grant,omitempty"`
 	Revoke        []string    `json:"revoke,omitempty"` // names of minions
 	Ack           []string    `json:"ack,omitempty"`    // member IDs; see Member.Acked
@@ -92,6 +99,14 @@
 	Task    TaskRef `json:"task"`
 	Attempt int     `json:"attempt"`
 	Outcome string  `json:"outcome"`
+	Early   bool    `json:"early,omitempty"`   // the worker was lost right after it started the attempt
+	Crashed bool    `json:"crashed,omitempty"` // the worker then restarted, and no other job had a task that it had just started
+}
+
+// GiveUp ends a pending task of a batch or gang job as failed.
+type GiveUp struct {
+	Task   TaskRef `json:"task"`
+	Reason string  `json:"reason"`
 }
 
 // JobReason is a job with a reason: why it can never run, which ends the job (in
--- a/internal/state/work/state.go
+++ b/internal/state/work/state.go
@@ -162,6 +162,9 @@
 	for _, r := range b.SetReason {
 		s.setReason(r)
 	}
+	for _, g := range b.GiveUp {
+		s.giveUpTask(g, b.AtMs)
+	}
 	for _, a := range b.Assign {
 		s.assignTask(a)
 	}
--- a/internal/state/work/state_test.go
+++ b/internal/state/work/state_test.go
@@ -99,7 +99,12 @@
 				b.Assign = append(b.Assign, work.Assign{Task: ref, Attempt: task.Attempt + rapid.IntRange(0, 2).Draw(t, "attempt"), Worker: "w"})
 			case 1:
 				outcome := rapid.SampledFrom([]string{work.OutcomeDone, work.OutcomeFailed, work.OutcomeLost, work.OutcomeStopped}).Draw(t, "outcome")
-				b.End = append(b.End, work.End{Task: ref, Attempt: task.Attempt, Outcome: outcome})
+				early := outcome == work.OutcomeLost && rapid.Bool().Draw(t, "early")
+				b.End = append(b.End, work.End{Task: ref, Attempt: task.Attempt, Outcome: outcome, Early: early, Crashed: early && rapid.Bool().Draw(t, "crashed")})
+			case 2:
+				if rapid.IntRange(0, 9).Draw(t, "give-up") == 0 {
+					b.GiveUp = append(b.GiveUp, work.GiveUp{Task: ref, Reason: "crashes"})
+				}
 			}
 		}
 	}
--- a/internal/state/work/task.go
+++ b/internal/state/work/task.go
@@ -98,6 +98,7 @@
 	if e.Outcome == OutcomeFailed {
 		t.FailedAttempts++
 	}
+	t.countLoss(j.Spec.Kind, e)
 	switch {
 	case j.Spec.Kind != KindService && e.Outcome == OutcomeDone:
 		s.closeTask(j, t, TaskDone)
@@ -113,6 +114,32 @@
 	}
 }
 
+// countLoss counts the loss of a worker right after it started the task. Any
+// other end of a service's replica shows that it can run.
+func (t *Task) countLoss(kind string, e End) {
+	if e.Early {
+		t.EarlyLosses++
+		if e.Crashed {
+			t.Crashes++
+		}
+		return
+	}
+	if kind == KindService {
+		t.EarlyLosses, t.Crashes = 0, 0
+	}
+}
+
+// giveUpTask ends a pending task as failed. A gang fails as a whole.
+func (s *State) giveUpTask(g GiveUp, atMs int64) {
+	j, t := s.task(g.Task)
+	if t == nil || t.State != TaskPending || j.Spec.Kind == KindService || j.FinalState != "" {
+		return
+	}
+	s.closeTask(j, t, TaskFailed)
+	j.Reason = g.Reason
+	s.finishIfComplete(j, atMs)
+}
+
 func (s *State) closeTask(j *Job, t *Task, state string) {
 	t.State = state
 	j.Unfinished--
