coordination/entry: a request that was sent is not reported as not run

What callers saw: an idempotent request whose first attempt was sent and lost, and whose further attempts reached no minion, was answered as `not-run`, which the README calls certain: never sent, or refused before it started. The minion may have run it.

Cause: the answer was that of the last attempt alone.

Ruled out: keyed and other non-idempotent requests. They are not tried again after an unknown outcome, so their key is never released for such an answer.

Now the last attempt with an unknown outcome decides the outcome and the code if no later one is answered; the detail says how the last one ended. TestSentRequestIsNotReportedAsNotRun failed first (not-run).

Conclusion: `not-run` says again that no attempt was sent, or that all of them were refused before they started.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -135,21 +135,28 @@
 // answer or no further one is allowed. Only retries after an unknown outcome
 // count against the retry budget.
 func (r *Router) doWithRetries(ctx context.Context, req *Request) Answer {
-	var last Answer
 	arrived := r.cfg.Now()
 	avoid := ""
+	sent := Answer{} // of the last attempt that may have run
 	for n := 1; ; n++ {
-		var retry bool
-		last, retry = r.doAttempt(ctx, req, arrived, avoid, n)
+		last, retry := r.doAttempt(ctx, req, arrived, avoid, n)
 		last.Attempts = n
 		avoid = last.Minion
-		if !retry || n == maxAttempts || ctx.Err() != nil {
-			return last
+		if last.Outcome == OutcomeUnknown {
+			sent = last
 		}
-		if last.Outcome == OutcomeUnknown && !r.takeRetry(req) {
+		if retry && n < maxAttempts && ctx.Err() == nil {
+			if last.Outcome != OutcomeUnknown || r.takeRetry(req) {
+				continue
+			}
 			last.Detail += "; the retry budget is spent"
-			return last
 		}
+		if sent.Outcome == OutcomeUnknown && last.Outcome == OutcomeNotRun {
+			sent.Detail += "; the last attempt was not run: " + last.Detail
+			sent.Attempts, sent.Waited = last.Attempts, last.Waited
+			return sent
+		}
+		return last
 	}
 }
 
