coordination/entry: a request that crashes its minions is sent to no third one

What callers saw: one idempotent request that crashes the minion which runs it was tried on up to five minions. All that ran on them was lost with it, and as the requests lost together were tried again together on the fastest free minion, good requests went down with it again, or used up their tries on minions that were down and ended as `no-minion`.

Cause: a closed connection is an unknown outcome like any other; neither the request nor the minion remembered that the minion was lost under the request.

Ruled out: the caller's key (a non-idempotent request is sent once) and the retry budget (half full at the start, it lets a single request try five times).

Now a minion counts as lost under a request if it closes the connection before any part of the answer and then can't be reached for a load query; silence, refusals, leaving and the loss of an instance don't count. After the second loss the request ends as `unknown` with the new code `minions-lost`. After the first it is sent to a minion without another such request, for which it waits half of the time left. A lost minion gets nothing until it answers a load query. Before, each of the requests that it took along counted as an incomplete answer of its own, which excluded the minion for up to 30 s after it was back. Between instances the loss is told by a code that callers never get, so the answer's format is as it was.

Conclusion: a request costs at most two minions, where their loss shows.

--- a/internal/coordination/entry/attempt.go
+++ b/internal/coordination/entry/attempt.go
@@ -28,6 +28,8 @@
 	minion *route.Minion
 	sentAt time.Time
 	cancel context.CancelCauseFunc
+
+	minionUnproved bool // the minion had not answered a load query since it was lost or taken over
 }
 
 // errNotRunning is the cause with which an attempt is cancelled if its minion
@@ -135,16 +137,23 @@
 // answer or no further one is allowed. Only retries after an unknown outcome
 // count against the retry budget.
 func (r *Router) doWithRetries(ctx context.Context, req *Request) Answer {
+	tried := *req
 	arrived := r.cfg.Now()
 	avoid := ""
 	sent := Answer{} // of the last attempt that may have run
 	for n := 1; ; n++ {
-		last, retry := r.doAttempt(ctx, req, arrived, avoid, n)
+		last, retry := r.doAttempt(ctx, &tried, arrived, avoid, n)
 		last.Attempts = n
 		avoid = last.Minion
 		if last.Outcome == OutcomeUnknown {
 			sent = last
 		}
+		if last.Code == CodeMinionLost {
+			tried.MinionsLost++
+		}
+		if tried.MinionsLost >= maxMinionsLost {
+			return r.giveUpAfterLosses(&tried, last)
+		}
 		if retry && n < maxAttempts && ctx.Err() == nil {
 			if last.Outcome != OutcomeUnknown || r.takeRetry(req) {
 				continue
@@ -154,9 +163,9 @@
 		if sent.Outcome == OutcomeUnknown && last.Outcome == OutcomeNotRun {
 			sent.Detail += "; the last attempt was not run: " + last.Detail
 			sent.Attempts, sent.Waited = last.Attempts, last.Waited
-			return sent
+			return callerAnswer(req, sent)
 		}
-		return last
+		return callerAnswer(req, last)
 	}
 }
 
@@ -185,6 +194,9 @@
 	// too. So does a non-idempotent request, which the HTTP transport then never
 	// resends.
 	a, retry = r.dispatch(ctx, req, m, !req.Idempotent || n > 1)
+	if req.MinionsLost > 0 {
+		r.addAfterLoss(m, -1)
+	}
 	a.Waited = waited
 	return a, retry
 }
@@ -193,15 +205,25 @@
 // If the minion is nil, it returns the answer instead, which is that of a peer
 // or a refusal, and reports whether another attempt is allowed.
 func (r *Router) acquireSlot(ctx context.Context, req *Request, arrived time.Time, avoid string) (*route.Minion, Answer, bool) {
+	if req.MinionsLost > 0 {
+		if m := r.awaitSlotApart(ctx, req, avoid); m != nil {
+			return m, Answer{}, false
+		}
+	}
 	now := r.cfg.Now()
 	if p, ok := r.findPeer(req, r.localServiceTime(req.Class, now)); ok {
 		a, retry := r.forward(ctx, req, p.Instance, p.Addr)
 		return nil, a, retry
 	}
-	if m := r.acquireFreeSlot(req.Class, avoid, now); m != nil {
-		return m, Answer{}, false
+	m := r.acquireFreeSlot(req.Class, avoid, now)
+	a, retry := Answer{}, false
+	if m == nil {
+		m, a, retry = r.enqueueAndWait(ctx, req, arrived)
+	}
+	if m != nil && req.MinionsLost > 0 {
+		r.addAfterLoss(m, 1)
 	}
-	return r.enqueueAndWait(ctx, req, arrived)
+	return m, a, retry
 }
 
 // localServiceTime returns the expected service time here, or 0 if no slot is
@@ -359,6 +381,7 @@
 		r.pool.ReleaseSlot(att.minion, class, 0)
 		return false
 	}
+	att.minionUnproved = att.minion.LoadUnknown
 	r.inFlight[att.id] = att
 	return true
 }
@@ -392,7 +415,8 @@
 	}
 	notRunning := errors.Is(err, errNotRunning)
 	r.finishAttempt(att, req.Class, 0, sendErr.Sent && !sendErr.Refused && !notRunning)
-	r.recordFailure(att.minion, sendErr, !notRunning && ctx.Err() == nil)
+	lost := sendErr.Broken && r.minionLost(ctx, req, att)
+	r.recordFailure(att.minion, sendErr, !notRunning && !lost && ctx.Err() == nil)
 	if notRunning {
 		r.cfg.CloseIdle(att.minion.Addr)
 	}
@@ -405,6 +429,9 @@
 		return a, true
 	}
 	a := Answer{Outcome: OutcomeUnknown, Code: CodeAnswerLost, Detail: err.Error(), Minion: att.minion.Name}
+	if lost {
+		a.Code = CodeMinionLost
+	}
 	if !att.minion.OwnedUntil.IsZero() && ctx.Err() != nil {
 		a.Code = CodeDeadlinePassed
 	}
@@ -414,7 +441,7 @@
 // recordFailure records a failure that is attributed to the minion. A failed
 // connection attempt is, and so is an incomplete answer if attributable is set.
 // A dead connection and an expired deadline are not, since they are no evidence
-// of a fault of the minion.
+// of a fault of the minion, nor is its loss, which may be the request's fault.
 func (r *Router) recordFailure(m *route.Minion, sendErr *SendError, attributable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/coordination/entry/request.go
+++ b/internal/coordination/entry/request.go
@@ -21,6 +21,8 @@
 	CodeDeadlinePassed       = "deadline-passed"
 	CodeNoMinion             = "no-minion"                // the request could not be sent to the chosen minion
 	CodeAnswerLost           = "answer-lost"              // sent, but no complete answer arrived
+	CodeMinionsLost          = "minions-lost"             // so many minions were lost while they ran it that it is sent to no other
+	CodeMinionLost           = "minion-lost"              // to peers only: the minion was lost while it ran it; callers get CodeAnswerLost
 	CodeRefused              = "refused-by-minion"        // the minion did not start it
 	CodeKeyHeld              = "idempotency-key-held"     // another request with the key may have run
 	CodeKeyDone              = "idempotency-key-done"     // another request with the key has run
@@ -48,6 +50,7 @@
 	Header         http.Header
 	Body           []byte
 	Forwarded      bool // received from a peer; not forwarded again
+	MinionsLost    int  // minions lost under earlier attempts, set by Router
 }
 
 // Answer is the answer to a request for its caller: a minion's complete answer,
@@ -79,6 +82,7 @@
 	Sent    bool   // the request may have reached the minion
 	Refused bool   // the minion answered that it did not start the request
 	Leaving bool   // the minion answered that it is stopping
+	Broken  bool   // the connection was closed before any part of the answer
 	Addr    string // address of the minion
 	Err     error
 }
--- a/internal/protocol/minion/minion.go
+++ b/internal/protocol/minion/minion.go
@@ -124,6 +124,8 @@
 		return reply, nil
 	}
 	sendErr := &entry.SendError{Sent: sent.Load(), Addr: addr, Err: err}
+	var noAnswer *noAnswerError
+	sendErr.Broken = sendErr.Sent && ctx.Err() == nil && errors.As(err, &noAnswer) && !unreachable(err)
 	var refused *refusedError
 	if errors.As(err, &refused) {
 		sendErr.Refused = true
@@ -137,10 +139,24 @@
 
 func (e *refusedError) Error() string { return "refused: " + e.reason }
 
+// noAnswerError says that no part of an answer arrived.
+type noAnswerError struct{ err error }
+
+func (e *noAnswerError) Error() string { return e.err.Error() }
+func (e *noAnswerError) Unwrap() error { return e.err }
+
+// unreachable reports whether the network, and not the minion, ended the
+// connection.
+func unreachable(err error) bool {
+	var netErr net.Error
+	timeout := errors.As(err, &netErr) && netErr.Timeout()
+	return timeout || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
+}
+
 func (c *Client) exchange(t *http.Transport, req *http.Request, requestID string) (entry.Reply, error) {
 	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return entry.Reply{}, err
+		return entry.Reply{}, &noAnswerError{err}
 	}
 	defer resp.Body.Close()
 	if got := resp.Header.Get(HeaderRequestID); got != requestID {
--- a/internal/standin/cell/cell.go
+++ b/internal/standin/cell/cell.go
@@ -53,6 +53,9 @@
 	servers      []*httpd.Server
 	platformAddr string
 
+	stop chan struct{} // closed by Close
+	wg   sync.WaitGroup
+
 	mu        sync.Mutex // guards instances
 	instances map[string]*Instance
 }
@@ -62,7 +65,7 @@
 func Start(cfg Config) (*Cell, error) {
 	c := &Cell{
 		cfg: cfg, Oracle: NewOracle(), Platform: platf.New(cfg.ListLag, cfg.RetainedRecords), Workers: map[string]*worker.Worker{},
-		Minions: map[string]*minion.Minion{}, instances: map[string]*Instance{},
+		Minions: map[string]*minion.Minion{}, instances: map[string]*Instance{}, stop: make(chan struct{}),
 	}
 	addr, err := c.serve(ZonePlatform, &http.Server{Handler: c.Platform.Handler()})
 	if err != nil {
@@ -136,16 +139,49 @@
 }
 
 func (c *Cell) startMinion(name, domain string, speed float64) error {
-	m := minion.New(minion.Config{Name: name, Speed: speed, OnRequest: c.Oracle.RecordRequest})
+	crashed := make(chan struct{}, 1)
+	m := minion.New(minion.Config{Name: name, Speed: speed, OnRequest: c.Oracle.RecordRequest, OnCrash: func() {
+		select {
+		case crashed <- struct{}{}:
+		default: // it is down already
+		}
+	}})
 	c.Minions[name] = m
-	addr, err := c.serve(domain, m.Server())
+	l, err := c.listen("127.0.0.1:0", domain)
 	if err != nil {
 		return err
 	}
-	c.Platform.Put(platf.Instance{Name: name, Kind: "minion", Domain: domain, Addr: addr, State: "live", Slots: 8})
+	server := httpd.Serve(l, m.Server())
+	c.wg.Go(func() { c.runMinion(m, server, domain, crashed) })
+	c.Platform.Put(platf.Instance{Name: name, Kind: "minion", Domain: domain, Addr: server.Addr, State: "live", Slots: 8})
 	return nil
 }
 
+// runMinion restarts a minion's server at its address after each crash, until
+// the cell is closed.
+func (c *Cell) runMinion(m *minion.Minion, server *httpd.Server, domain string, crashed <-chan struct{}) {
+	defer func() { server.Close() }()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-crashed:
+		}
+		server.Close()
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(minion.Downtime):
+		}
+		l, err := c.listen(server.Addr, domain)
+		if err != nil {
+			c.cfg.Logger.Error().Err(err).Str("minion", server.Addr).Msg("cell: minion can't listen again")
+			return
+		}
+		server = httpd.Serve(l, m.Server())
+	}
+}
+
 // StartInstance starts another entry instance that listens at the given
 // address, and adds it to the platform's list. Port 0 selects a free port.
 func (c *Cell) StartInstance(name, domain, listen string) (*Instance, error) {
@@ -242,4 +278,6 @@
 	for _, s := range c.servers {
 		s.Close()
 	}
+	close(c.stop)
+	c.wg.Wait()
 }
--- a/internal/standin/minion/minion.go
+++ b/internal/standin/minion/minion.go
@@ -46,6 +46,9 @@
 	// OnRequest is called without locks held when a request starts to run, with
 	// its request ID, idempotency key ("" for none) and path. It may be nil.
 	OnRequest func(id, key, path string)
+	// OnCrash closes the minion's listener and connections, and lets it listen
+	// again after Downtime. It must not wait for the requests to end. It may be nil.
+	OnCrash func()
 }
 
 // Minion simulates a minion.
@@ -64,6 +67,7 @@
 	peakConns    int
 	faults       Faults
 	leaving      bool
+	crashes      int
 	startsByKey  map[string]int // by idempotency key
 }
 
@@ -194,8 +198,14 @@
 		m.cfg.OnRequest(id, r.Header.Get(headerKey), r.URL.Path)
 	}
 	// As on a real minion, the request runs on when its connection is lost.
+	if r.Header.Get(HeaderCrash) != "" {
+		time.Sleep(crashDelay)
+		m.crash()
+	}
 	time.Sleep(m.workTime(r))
-	m.endRequest(id)
+	if !m.endRequest(id) {
+		panic(http.ErrAbortHandler)
+	}
 	m.answer(w, r, faults, id, body)
 }
 
@@ -231,14 +241,19 @@
 	return m.faults, true
 }
 
-func (m *Minion) endRequest(id string) {
+// endRequest reports whether the request ran to its end and not into a crash.
+func (m *Minion) endRequest(id string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.running[id] == 0 {
+		return false
+	}
 	m.running[id]--
 	if m.running[id] == 0 {
 		delete(m.running, id)
 	}
 	m.runningCount--
+	return true
 }
 
 func (m *Minion) workTime(r *http.Request) time.Duration {
--- a/internal/state/route/pool.go
+++ b/internal/state/route/pool.go
@@ -31,6 +31,7 @@
 	Orphans        int       // slots taken by requests that may still run there and whose answers this instance does not await
 	LoadUnknown    bool      // its number of orphans is not known yet
 	Leaving        bool      // it is stopping
+	AfterLoss      int       // requests of this instance on it under which another minion was lost
 	SuspectedUntil time.Time // end of its suspicion
 	OwnedUntil     time.Time // end of this instance's right to dispatch to it
 	NextLoadQuery  time.Time // earliest time of the next query of its running requests
@@ -196,11 +197,38 @@
 	return m
 }
 
+// AcquireSlotApart is AcquireSlot, but only chooses minions whose AfterLoss is 0,
+// and never the one named avoid.
+func (p *Pool) AcquireSlotApart(class, avoid string, now time.Time) *Minion {
+	m := p.choose(class, now, func(m *Minion) bool { return m.AfterLoss == 0 && m.Name != avoid })
+	if m != nil {
+		m.Busy++
+	}
+	return m
+}
+
+// AnyUsable reports whether a minion, other than the one named avoid, may get
+// requests once it has a free slot.
+func (p *Pool) AnyUsable(avoid string, now time.Time) bool {
+	for _, m := range p.minions {
+		if !m.LoadUnknown && m.Name != avoid && m.eligible(now, false) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Pool) selectMinion(class, avoid string, now time.Time) *Minion {
+	return p.choose(class, now, func(m *Minion) bool { return m.Name != avoid })
+}
+
+// choose returns one of the available minions for which accept returns true, or
+// nil.
+func (p *Pool) choose(class string, now time.Time, accept func(*Minion) bool) *Minion {
 	candidates := make([]*Minion, 0, len(p.minions))
 	allowSuspected := p.allSuspected(now)
 	for _, m := range p.minions {
-		if m.available(now, allowSuspected) && m.Name != avoid {
+		if m.available(now, allowSuspected) && accept(m) {
 			candidates = append(candidates, m)
 		}
 	}
--- a/internal/testing/world/world.go
+++ b/internal/testing/world/world.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/tamaracklink/tamaracklink/internal/standin/cell"
+	"github.com/tamaracklink/tamaracklink/internal/standin/minion"
 	"github.com/tamaracklink/tamaracklink/internal/standin/pipes"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 	"github.com/tamaracklink/tamaracklink/internal/transport/server"
@@ -312,6 +313,7 @@
 	Body       string // request body; the answer must end with it
 	Key        string // idempotency key, "" for none
 	Idempotent bool
+	Crash      bool          // it crashes the minion that runs it
 	WorkTime   time.Duration // duration on a minion of speed 1; 0 means the minion's default
 	Deadline   time.Duration // 0 means 20 s
 }
@@ -349,6 +351,9 @@
 	if r.Key != "" {
 		req.Header.Set(server.HeaderKey, r.Key)
 	}
+	if r.Crash {
+		req.Header.Set(minion.HeaderCrash, "true")
+	}
 	if r.WorkTime > 0 {
 		req.Header.Set("Work-Ms", strconv.FormatInt(r.WorkTime.Milliseconds(), 10))
 	}
--- a/internal/transport/server/callers.go
+++ b/internal/transport/server/callers.go
@@ -195,7 +195,7 @@
 		return http.StatusTooManyRequests
 	case entry.CodeKeyHeld, entry.CodeKeyDone:
 		return http.StatusConflict
-	case entry.CodeAnswerLost, entry.CodePeerLost:
+	case entry.CodeAnswerLost, entry.CodeMinionLost, entry.CodeMinionsLost, entry.CodePeerLost:
 		return http.StatusBadGateway
 	case entry.CodeDeadlinePassed, entry.CodeCallerLeft:
 		return http.StatusGatewayTimeout
