--- a/internal/coordination/leader/domain.go
+++ b/internal/coordination/leader/domain.go
@@ -64,24 +64,26 @@
 	done   chan struct{}
 	wake   chan struct{}
 
-	mu               sync.Mutex // guards the fields below, except wg
-	state            *work.State
-	leadership       *leadership // nil unless this instance is the leader
-	lastLeaderRecord time.Time   // when the leader's last record was received
-	joinedAt         time.Time   // when this member's join record was read
-	peerDiedAt       time.Time   // when a record was last read that marked a peer dead
-	joinSentAt       time.Time   // when the last join record was sent
-	noClaimBefore    time.Time   // promised to the leader: no claim before this time
-	lastClaim        sentClaim
-	ownershipUntil   time.Time // promised by the leader: this member's minions are not assigned to others before
-	leaving          bool
-	wg               *parts.Group // all goroutines of the domain
-	ctx              context.Context
+	mu                 sync.Mutex // guards the fields below, except wg
+	state              *work.State
+	leadership         *leadership // nil unless this instance is the leader
+	lastLeaderRecord   time.Time   // when the leader's last record was received
+	formerLeaderRecord time.Time   // when the last record of the leader before the present one was received
+	joinedAt           time.Time   // when this member's join record was read
+	peerDiedAt         time.Time   // when a record was last read that marked a peer dead
+	joinSentAt         time.Time   // when the last join record was sent
+	noClaimBefore      time.Time   // promised to the leader: no claim before this time
+	lastClaim          sentClaim
+	startedAt          map[work.TaskRef]time.Time // start of each assigned task, of those that this instance has seen
+	ownershipUntil     time.Time                  // promised by the leader: this member's minions are not assigned to others before
+	leaving            bool
+	wg                 *parts.Group // all goroutines of the domain
+	ctx                context.Context
 }
 
 // New returns a domain without any state. Run must be called to read it.
 func New(cfg Config) *Domain {
-	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), done: make(chan struct{}), wake: make(chan struct{}, 1), wg: parts.New()}
+	d := &Domain{cfg: cfg, state: work.NewState(cfg.Domain), startedAt: map[work.TaskRef]time.Time{}, done: make(chan struct{}), wake: make(chan struct{}, 1), wg: parts.New()}
 	sm := stream.StateMachine{Apply: d.apply, Snapshot: d.Snapshot, Load: d.load, Offset: d.offset, Fetch: cfg.Fetch}
 	name := StreamName(cfg.Domain)
 	d.stream = stream.New(stream.FollowerConfig{
@@ -173,10 +175,11 @@
 func (d *Domain) handleRecord(r work.Record, received time.Time) {
 	switch {
 	case r.Claim != nil:
-		d.lastLeaderRecord = received
+		d.formerLeaderRecord, d.lastLeaderRecord = d.lastLeaderRecord, received
 		d.handleClaim(*r.Claim, received)
 	case r.Batch != nil:
 		d.lastLeaderRecord = received
+		d.recordStarts(r.Batch, received)
 		d.handleBatch(r.Batch, received)
 	case r.Join != nil && r.Join.ID == d.cfg.Member:
 		d.joinedAt = received
@@ -210,6 +213,7 @@
 		return err
 	}
 	now := d.cfg.Now()
+	clear(d.startedAt)
 	d.lastLeaderRecord, d.peerDiedAt = now, now
 	if _, ok := d.state.Members[d.cfg.Member]; ok {
 		d.joinedAt = now
