state/sched: batch steps leave no room to gangs that can't get theirs

What callers saw: nothing yet.

Cause: since batch steps with time left use only what waiting gangs can't. A gang counted as waiting also if tasks that last, or workers that do not answer, leave it no place at all. With two such gangs a batch step waits beside free workers until its time left is down to 2.5 times its work, minutes with a slack of minutes.

Now a gang counts, and reserves, only if it fits once the tasks that end by themselves have ended. The check has moved from the admission of partial reservations to its two callers, so it is made once.

Test, failed first: TestGangsThatCannotFitHoldNoBatchStepBack (the batch job queued after 5 s, with a slack of 60 s).

--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -356,7 +356,10 @@
 	if known >= knownRoomFactor*len(ps.idleTasks) {
 		return false
 	}
-	return !st.Gang || len(e.workersByID) <= e.maxNamedWorkers(p.now, true) || e.admitPartialReservation(p.now, ps, st, len(ps.idleTasks))
+	if !st.Gang || len(e.workersByID) <= e.maxNamedWorkers(p.now, true) {
+		return true
+	}
+	return e.fitsOnceTasksEnd(p.now, ps, st, len(ps.idleTasks)) && e.admitPartialReservation(p.now, ps)
 }
 
 // maxNamedWorkers returns how many workers the queries about a step that are in
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -127,9 +127,11 @@
 		fit += c.fit + c.preemptFit
 	}
 	if fit == 0 || (st.Gang && fit < need) {
-		ps.job.stepPlacement(ps.round.Number, ps.step).lackedRoomAt = p.now
-		if st.Gang && len(candidates) > 0 && e.admitPartialReservation(p.now, ps, st, need) {
-			e.reservePartially(p, ps, st, candidates, need)
+		if st.Gang && e.fitsOnceTasksEnd(p.now, ps, st, need) {
+			ps.job.stepPlacement(ps.round.Number, ps.step).lackedRoomAt = p.now
+			if len(candidates) > 0 && e.admitPartialReservation(p.now, ps) {
+				e.reservePartially(p, ps, st, candidates, need)
+			}
 		}
 		return nil
 	}
@@ -164,8 +166,8 @@
 
 // fitsOnceTasksEnd reports whether need tasks of the step would fit on the usable
 // workers of its service once all tasks there have ended that do so by themselves,
-// without the workers that the placement service has rejected. Capacity reserved
-// for a gang that does not fit even then would stay unused.
+// without the workers that the placement service has rejected. Capacity kept for a
+// gang that does not fit even then would stay unused.
 func (e *Engine) fitsOnceTasksEnd(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
 	service, perWorker := e.policy(ps.job).Service, need
 	if st.MaxPerWorker > 0 {
@@ -231,13 +233,10 @@
 	c.preemptFit = max(fitCount(free, taskSize(st), maxFit)-c.fit, 0)
 }
 
-// admitPartialReservation reports whether a gang with need tasks may have a
-// partial reservation beside those of the same or a higher priority, and if so
-// records it until it expires. It drops those of later gangs.
-func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
-	if !e.fitsOnceTasksEnd(now, ps, st, need) {
-		return false
-	}
+// admitPartialReservation reports whether a gang may have a partial reservation
+// beside those of the same or a higher priority, and if so records it until it
+// expires. It drops those of later gangs.
+func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep) bool {
 	id, others := ps.stepID(), 0
 	for other, res := range e.partialReservations {
 		switch {
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -71,7 +71,7 @@
 	queriedBy      map[*placementClient]bool // clients with a query about the step in flight, one each
 	queriedAt      time.Time                 // when the newest queries were sent
 	purpose        QueryPurpose              // of the newest queries
-	lackedRoomAt   time.Time                 // when a pass last found no room for the step
+	lackedRoomAt   time.Time                 // when a pass last found no room for the step, a gang that may get some
 	nextQuery      time.Time                 // earliest time of the next query
 	nextSearch     time.Time                 // earliest time of the next search for workers to query
 	nextEvaluation time.Time                 // earliest time of the next evaluation, see reevaluationPause
--- a/internal/state/sched/unfitting_gang_test.go
+++ b/internal/state/sched/unfitting_gang_test.go
@@ -47,3 +47,34 @@
 		})
 	}
 }
+
+// TestGangsThatCannotFitHoldNoBatchStepBack guards against batch steps that leave
+// room to waiting gangs, for as long as they have time left, although none of the
+// gangs can use it.
+func TestGangsThatCannotFitHoldNoBatchStepBack(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 4)
+	for id, w := range s.workers {
+		w.speed, w.info.Labels = 1, []string{id}
+	}
+	s.config = &flow.Config{Version: 2}
+	submit := func(id string, priority int, st flow.Step) {
+		spec := newJobSpec(id, id, st)
+		spec.Policy.Priority, spec.Policy.Stretch, spec.Policy.SlackMs = priority, 1, 60_000
+		s.config.Queues = append(s.config.Queues, flow.Queue{Name: id, Policy: spec.Policy})
+		s.submit(spec)
+	}
+	s.startLeader()
+	s.run(time.Second)
+	lasting := taskStep(1, 8000, 400)
+	lasting.LongRunning, lasting.Label = true, "w00"
+	submit("lasting", 0, lasting)
+	s.run(time.Second)
+	submit("wide", 1, gangStep(4, 30000, 400))
+	submit("wider", 1, gangStep(4, 31000, 400))
+	s.run(100 * time.Millisecond)
+	submit("batch", 2, taskStep(2, 25000, 400))
+	s.run(5 * time.Second)
+	is.Equal(s.violations, nil)
+	is.Equal(s.progress("batch").State, flow.Complete)
+}
