state/sched, coordination/core: jobs that the leader has lost track of are counted

What operators saw: of a job that does not go on, the log told the reason only while its step was pending. Whether the leader had lost track of the job, or took a run or an earlier step of it for unfinished, looked the same: no line.

Now leader: state has stranded and stranded-job, the metrics stranded_jobs: jobs that have not ended and have neither a pending step, nor a run, nor a round to come. The oldest step of leader: queue has what that step waits for, not only its queue.

--- a/internal/coordination/core/stats.go
+++ b/internal/coordination/core/stats.go
@@ -67,7 +67,7 @@
 	for name, v := range map[string]float64{
 		"live_jobs": float64(s.LiveJobs), "runs": float64(s.Runs), "cpu_used": s.CPU.Used, "cpu_unconfirmed": s.CPU.Unconfirmed, "cpu_stopping": s.CPU.Stopping,
 		"cpu_reserved": s.CPU.Reserved, "cpu_reserved_idle": s.CPU.ReservedIdle, "reserving_steps": float64(s.ReservingSteps),
-		"placement_clients": float64(s.Clients), "placement_busy_quick": busyQuick, "placement_busy_long": busyLong,
+		"stranded_jobs": float64(s.Stranded), "placement_clients": float64(s.Clients), "placement_busy_quick": busyQuick, "placement_busy_long": busyLong,
 	} {
 		c.settings.Meter.Gauge(name, v)
 	}
@@ -78,7 +78,7 @@
 		waitingIn[queue] = w.Steps
 		c.waitingQueues = append(c.waitingQueues, queue)
 	}
-	c.settings.Logger.Info().Int("jobs", s.Jobs).Int("live", s.LiveJobs).Int("waiting", s.PendingSteps).Int("waiting-late", s.LatePendingSteps).Interface("waiting-in", waitingIn).
+	c.settings.Logger.Info().Int("jobs", s.Jobs).Int("live", s.LiveJobs).Int("waiting", s.PendingSteps).Int("waiting-late", s.LatePendingSteps).Int("stranded", s.Stranded).Str("stranded-job", s.StrandedJob).Interface("waiting-in", waitingIn).
 		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.UnansweredStarts).Int("workers", s.Workers).Int("usable", s.Usable).
 		Float64("cpu-used", roundShare(s.CPU.Used)).Float64("cpu-unconfirmed", roundShare(s.CPU.Unconfirmed)).Float64("cpu-stopping", roundShare(s.CPU.Stopping)).
 		Float64("cpu-reserved", roundShare(s.CPU.Reserved)).Float64("cpu-reserved-idle", roundShare(s.CPU.ReservedIdle)).Int("reserving", s.ReservingSteps).
@@ -159,7 +159,7 @@
 func (c *Core) logQueue(queue string, w *sched.QueueWaiting, a *sched.QueueActivity) {
 	waiting, queries, oldest := zerolog.Dict(), zerolog.Dict(), zerolog.Dict()
 	if o := w.Oldest; o.Name != "" {
-		oldest.Str("step", o.Name).Int64("age-ms", o.Age.Milliseconds()).Int("tasks", o.IdleTasks).Int("allowed", o.Permitted).Int("rejected", o.Rejected).Int("fit", o.Fit).Int("fit-valid", o.ValidFit)
+		oldest.Str("step", o.Name).Str("for", o.Reason.String()).Int64("age-ms", o.Age.Milliseconds()).Int("tasks", o.IdleTasks).Int("allowed", o.Permitted).Int("rejected", o.Rejected).Int("fit", o.Fit).Int("fit-valid", o.ValidFit)
 	}
 	w.EachReason(func(r sched.WaitReason, steps int) { waiting.Int(r.String(), steps) })
 	for p, n := range a.Queries {
--- a/internal/state/sched/lost_test.go
+++ b/internal/state/sched/lost_test.go
@@ -58,6 +58,11 @@
 			s.run(250 * time.Millisecond)
 			s.checkIdleTasks(rt, idleSince)
 		}
+		if s.engine != nil {
+			if stats := s.engine.Stats(s.now); stats.Stranded > 0 {
+				rt.Fatalf("the leader has lost track of %d jobs, the oldest is %s", stats.Stranded, stats.StrandedJob)
+			}
+		}
 		if len(s.violations) > 0 {
 			rt.Fatalf("invariant violated: %s", s.violations[0])
 		}
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -8,6 +8,11 @@
 	LiveJobs         int // jobs that have not ended or still have runs
 	PendingSteps     int // steps with tasks that may start, without those of jobs in a pause after a refused start
 	LatePendingSteps int // pending steps that are past their objective
+	// Stranded is the number of jobs that have not ended and have neither a pending
+	// step, nor a run, nor a round to come, and StrandedJob the ID of the oldest.
+	// There are none unless the engine has lost track of a job.
+	Stranded    int
+	StrandedJob string
 	// Waiting describes the pending steps by queue, without queues that have
 	// none, and includes jobs in a pause after a refused start.
 	Waiting          map[string]*QueueWaiting
@@ -44,6 +49,7 @@
 		}
 	}
 	s.Waiting = e.waitingByQueue(now, pending)
+	s.Stranded, s.StrandedJob = e.strandedJobs()
 	var sums cpuSums
 	reserving := map[TaskID]bool{}
 	for _, w := range e.workersByID {
@@ -75,6 +81,22 @@
 	return s
 }
 
+// strandedJobs returns the number of stranded jobs and the ID of the oldest. It
+// must be called after pendingSteps.
+func (e *Engine) strandedJobs() (n int, oldest string) {
+	seq := 0
+	for j := range e.liveJobs {
+		if j.State.Final() || len(j.runs) > 0 || e.pendingJobs[j] || e.jobsWithFutureRounds[j] {
+			continue
+		}
+		if n == 0 || j.seq < seq {
+			seq, oldest = j.seq, j.ID
+		}
+		n++
+	}
+	return n, oldest
+}
+
 // cpuSums are amounts of CPU of usable workers, in thousandths of a core.
 type cpuSums struct{ capacity, used, unconfirmed, stopping, reserved, reservedIdle int64 }
 
--- a/internal/state/sched/stats_test.go
+++ b/internal/state/sched/stats_test.go
@@ -248,7 +248,7 @@
 	delete(tickets, q.Workers[0])
 	delete(tickets, q.Workers[1])
 	e.HandleQueryResult(testTime(20), q, tickets, 200*time.Millisecond, true)
-	want := OldestStep{Name: "g.0.0", Age: 50 * time.Millisecond, IdleTasks: 6, Permitted: 2, Rejected: 2, Fit: 4, ValidFit: 4}
+	want := OldestStep{Name: "g.0.0", Age: 50 * time.Millisecond, Reason: WaitNoRoom, IdleTasks: 6, Permitted: 2, Rejected: 2, Fit: 4, ValidFit: 4}
 	is.Equal(e.Stats(testTime(50)).Waiting["q"].Oldest, want)
 	want.Age, want.ValidFit = 150*time.Millisecond, 0
 	is.Equal(e.Stats(testTime(150)).Waiting["q"].Oldest, want)
@@ -304,3 +304,21 @@
 	e.Schedule(testTime(450))
 	is.Equal(e.TakeActivity().Queues["q"].Latencies[LatencyFirstPlacement], LatencySum{1, 50 * time.Millisecond})
 }
+
+// TestStrandedJobsAreCounted guards against a job that the engine has lost track
+// of and of which the logs show nothing.
+func TestStrandedJobsAreCounted(t *testing.T) {
+	is := is.New(t)
+	e := New(Params{MaxLease: time.Second, LeaderLease: time.Second}, testTime(0))
+	e.SetConfig(&flow.Config{Version: 1, Queues: []flow.Queue{{Name: "plain", Policy: flow.Policy{Service: simService}}}})
+	repeated := newJobSpec("repeated", "plain", taskStep(1, 1000, 400))
+	repeated.Repeat = flow.Repeat{Times: 2, FirstStartMs: testTime(5000).UnixMilli(), IntervalMs: 1000}
+	for _, spec := range []*flow.Spec{repeated, newJobSpec("a", "plain", taskStep(1, 1000, 400)), newJobSpec("b", "plain", taskStep(1, 1000, 400))} {
+		e.AddJob(testTime(0), &flow.Job{Spec: spec})
+	}
+	is.Equal(e.Stats(testTime(0)).Stranded, 0)
+	delete(e.pendingJobs, e.jobs["a"])
+	s := e.Stats(testTime(0))
+	is.Equal(s.Stranded, 1)
+	is.Equal(s.StrandedJob, "a")
+}
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -55,6 +55,7 @@
 type OldestStep struct {
 	Name      string        // JOB.ROUND.STEP, empty if since when the steps are startable is not known
 	Age       time.Duration // since it became startable
+	Reason    WaitReason    // what it waits for
 	IdleTasks int
 	Permitted int // workers that may run it, as far as known
 	Rejected  int // workers that may not run it, as far as known
@@ -83,7 +84,7 @@
 		q.Steps++
 		q.ByReason[reason]++
 		if since, ok := ps.startableSince(); ok && (q.Oldest.Name == "" || now.Sub(since) > q.Oldest.Age) {
-			q.oldest, q.Oldest.Name, q.Oldest.Age = ps, ps.stepID().StepName(), now.Sub(since)
+			q.oldest, q.Oldest.Name, q.Oldest.Age, q.Oldest.Reason = ps, ps.stepID().StepName(), now.Sub(since), reason
 		}
 	}
 	evaluated, demand := 0, e.findRoomDemand(now, pending)
