coordination/core: a replica that reloads the ledger does not lead before its end

What callers saw: nothing known.

If its own claim stands in a later page than the specs, it led as soon as the pages were applied. Of a job submitted between the pages the progress was skipped, its spec being unknown, and then ignored, as a leader ignores progress: the job began anew while its runs were stopped as unknown ones.

Now a replica leads only once it has read the ledger to its end after a load, as it does after a start or after stepping down.

Test, failed first: TestReplicaThatReloadsDoesNotLeadYet (it led between the pages).

--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -18,7 +18,7 @@
 		c.retryAppends()
 	}
 	if b.Reset {
-		c.completeOffset = b.CompleteOffset
+		c.completeOffset, c.reloading = b.CompleteOffset, true
 		clear(c.earlyCancels)
 		c.dropRemovedJobs(b.Records)
 		c.settings.Logger.Info().Int("records", len(b.Records)).Int64("next", b.NextOffset).Msg("ledger: loaded the newest record of each key")
@@ -28,6 +28,7 @@
 	}
 	if b.CaughtUp && b.NextOffset >= c.completeOffset {
 		c.currentAt.Store(int64(c.settings.Uptime() - now.Sub(b.SentAt)))
+		c.reloading = false
 		c.ready.Store(true)
 		c.answering.Store(true)
 		c.election.caughtUpAt = now
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -118,6 +118,7 @@
 	role           roleState                 // whether this instance becomes a replica
 	earlyCancels   map[string]bool           // jobs cancelled before their spec has been read
 	completeOffset int64                     // ledger offset up to which to read before the state is complete
+	reloading      bool                      // the newest records were loaded and the ledger has not been read to its end since
 	estimates      []byte                    // newest estimator record of a leader, encoded
 	election       electionState
 	engine         *sched.Engine // nil unless this instance leads
--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -138,9 +138,10 @@
 }
 
 // stepElection starts to lead if the newest claim is this process's, or stands
-// for election when that is due.
+// for election when that is due. While it reloads, its claim may have been read
+// before older records.
 func (c *Core) stepElection(now time.Time) {
-	if c.engine != nil || !c.ready.Load() || c.election.leaving {
+	if c.engine != nil || !c.ready.Load() || c.reloading || c.election.leaving {
 		return
 	}
 	if c.holdsClaim() && c.election.term >= c.election.minTerm {
