--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -32,7 +32,8 @@
 	acknowledgedDone   map[sched.TaskID]bool // tasks that ended as done, and the end was acknowledged
 	violations         []string
 	runStarts          int
-	unreachableClients map[string]bool // clients that can't reach any worker
+	unreachableClients map[string]bool    // clients that can't reach any worker
+	unanswered         []sched.WorkerInfo // listed, but no worker answers for them
 }
 
 // Worker is one worker.
@@ -98,6 +99,14 @@
 	f.unreachableClients[client] = partitioned
 }
 
+// ListUnanswered adds entries to the list of workers that no worker answers for,
+// as another writer may store them.
+func (f *Fleet) ListUnanswered(entries ...sched.WorkerInfo) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered = append(f.unanswered, entries...)
+}
+
 // Crash makes a worker lose its state. It restarts as a new incarnation after
 // the downtime.
 func (f *Fleet) Crash(id string, downtime time.Duration) {
@@ -159,6 +168,7 @@
 			out = append(out, info)
 		}
 	}
+	out = append(out, f.unanswered...)
 	sort.Slice(out, func(i, k int) bool { return out[i].ID < out[k].ID })
 	return out, nil
 }
