protocol/plat: an odd entry of the list of instances doesn't hide the others

The last list that was read stayed in use, so that new minions and workers weren't used and those that had left were called. Other entries were taken as they were: at the port 70000 or "user@host:1", with slots and capacities below 0 or near 2^63, whose sums overflow (route.Pool's slots, place.Engine's capacity). Now each entry is decoded and checked by itself, with an error that names the field; one that fails is skipped and logged once. Bounds: slots up to 2^20, amounts up to 2^40, so that a million sum up; an entry up to 16 KB; addr as HOST:PORT. Left: an entry nested deeper than 10,000 makes the document unreadable, since it is not in base64 here. That is logged, and the list read before stays in use.

Conclusion: an odd entry costs only itself.

--- a/internal/protocol/plat/plat.go
+++ b/internal/protocol/plat/plat.go
@@ -11,13 +11,18 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
+	"github.com/tamaracklink/tamaracklink/internal/state/hostport"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -55,8 +60,10 @@
 func (t *domainTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
 // Client reads the platform's list of instances. It may be used by several
-// goroutines.
+// goroutines. Logger must be set before the first call, if at all.
 type Client struct {
+	Logger zerolog.Logger
+
 	addr   string
 	domain string
 	http   *http.Client
@@ -84,12 +91,56 @@
 }
 
 type listReply struct {
-	Instances []listedInstance `json:"instances"`
+	Instances []json.RawMessage `json:"instances"`
+}
+
+// Bounds of an entry of the list.
+const (
+	// maxEntryBytes is many times the length of an entry.
+	maxEntryBytes = 16 << 10
+	// maxSlots and maxCapacity leave room for the sums over a million instances.
+	maxSlots    = 1 << 20
+	maxCapacity = 1 << 40
+)
+
+// decodeInstance decodes and checks an entry of the list. The error names the
+// field.
+func decodeInstance(data []byte) (member.Instance, error) {
+	if len(data) > maxEntryBytes {
+		return member.Instance{}, errors.Errorf("an entry has %d bytes, more than %d", len(data), maxEntryBytes)
+	}
+	var listed listedInstance
+	if err := json.Unmarshal(data, &listed); err != nil {
+		return member.Instance{}, errors.Wrapf(err, "instance %q", errs.Shorten(listed.Name))
+	}
+	reject := func(format string, args ...any) (member.Instance, error) {
+		return member.Instance{}, errors.Errorf("instance %q: "+format, append([]any{errs.Shorten(listed.Name)}, args...)...)
+	}
+	if listed.Name == "" || strings.ContainsFunc(listed.Name, func(r rune) bool { return unicode.IsControl(r) || r == utf8.RuneError }) {
+		return reject("the name is empty or has bytes that are not text")
+	}
+	if listed.Kind == "" {
+		return reject("no kind")
+	}
+	if err := hostport.Check(listed.Addr); err != nil {
+		return reject("addr %q: %w", errs.Shorten(listed.Addr), err)
+	}
+	if listed.Slots < 0 || listed.Slots > maxSlots {
+		return reject("slots %d is not in 0..%d", listed.Slots, maxSlots)
+	}
+	none, most := work.Size{}, work.Size{CPU: maxCapacity, Memory: maxCapacity, Accelerators: maxCapacity}
+	if !none.FitsIn(listed.Capacity) || !listed.Capacity.FitsIn(most) {
+		return reject("capacity %v is not in 0..%d", listed.Capacity, int64(maxCapacity))
+	}
+	return member.Instance{
+		Name: listed.Name, Kind: listed.Kind, Domain: listed.Domain, Rack: listed.Rack, Addr: listed.Addr, State: listed.State, Slots: listed.Slots, Capacity: listed.Capacity,
+	}, nil
 }
 
 // List returns the platform's list of instances: all of the client's domain, then
 // the entry instances of all domains. The platform does not send a part again
-// that has not changed.
+// that has not changed. An entry that describes no instance is skipped and logged
+// once.
 func (c *Client) List(ctx context.Context) ([]member.Instance, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -108,6 +159,7 @@
 type cachedPart struct {
 	etag      string
 	instances []member.Instance
+	skipped   map[string]bool // errors of the entries that were skipped
 }
 
 func (c *Client) readPart(ctx context.Context, p *cachedPart, path string) ([]member.Instance, error) {
@@ -121,13 +173,18 @@
 		return nil, err
 	}
 	instances := make([]member.Instance, 0, len(reply.Instances))
-	for _, listed := range reply.Instances {
-		instances = append(instances, member.Instance{
-			Name: listed.Name, Kind: listed.Kind, Domain: listed.Domain, Rack: listed.Rack, Addr: listed.Addr, State: listed.State, Slots: listed.Slots, Capacity: listed.Capacity,
-		})
+	skipped := map[string]bool{}
+	for _, data := range reply.Instances {
+		inst, err := decodeInstance(data)
+		if err == nil {
+			instances = append(instances, inst)
+			continue
+		}
+		if skipped[err.Error()] = true; !p.skipped[err.Error()] {
+			c.Logger.Warn().Err(err).Msg("platform: skipping an entry of the list of instances")
+		}
 	}
-	p.etag = etag
-	p.instances = instances
+	p.etag, p.instances, p.skipped = etag, instances, skipped
 	return instances, nil
 }
 
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -118,6 +118,7 @@
 func (i *Instance) buildComponents() {
 	i.platformHTTP = plat.NewHTTPClient(i.settings.Domain, i.env.Dial)
 	i.platformClient = plat.New(i.settings.Platform, i.settings.Domain, i.platformHTTP)
+	i.platformClient.Logger = i.logger
 	streams := i.env.OpenStore(i.settings.Platform, i.platformHTTP)
 	i.workerClient = worker.New(i.settings.Domain, i.env.Dial)
 	i.minionClient = minion.New(i.settings.Domain, i.env.Dial)
