protocol/worker: sizes in a worker's reply stay within what is summed up

Callers saw: nothing. serve's leader sums the sizes that a worker lists up and takes them off its capacity. A size below 0, or several near 2^63, would make room for tasks that don't fit. Now amounts in replies are brought into 0..2^40. The reply isn't refused: the worker would be taken for silent and lose its tasks for a wrong figure. Passed on reading, without a test: a task index out of range (state/work.State.task checks it), numbers of requests of a minion (only the length of its list is used).

Conclusion: a worker's figures can't add room.

--- a/internal/protocol/worker/worker.go
+++ b/internal/protocol/worker/worker.go
@@ -85,9 +85,9 @@
 	if err := c.call(ctx, addr, "/sync", req, &reply); err != nil {
 		return leader.SyncReply{}, errs.At("sync with worker", addr, err)
 	}
-	out := leader.SyncReply{Unchanged: reply.Unchanged, Incarnation: reply.Boot, Version: reply.Version, Usage: reply.Usage}
+	out := leader.SyncReply{Unchanged: reply.Unchanged, Incarnation: reply.Boot, Version: reply.Version, Usage: bounded(reply.Usage)}
 	for _, t := range reply.Running {
-		out.Running = append(out.Running, leader.RunningTask{Attempt: t.toLeader(), Size: t.Size})
+		out.Running = append(out.Running, leader.RunningTask{Attempt: t.toLeader(), Size: bounded(t.Size)})
 	}
 	for _, t := range reply.Ended {
 		out.Ended = append(out.Ended, leader.EndedTask{Attempt: t.toLeader(), EndNumber: t.EndNumber, Outcome: t.Outcome})
@@ -95,6 +95,16 @@
 	return out, nil
 }
 
+// maxAmount is the largest amount in a reply. It leaves room in an int64 for the sum
+// over all tasks that a reply can list.
+const maxAmount = 1 << 40
+
+// bounded returns s with each amount in 0..maxAmount.
+func bounded(s work.Size) work.Size {
+	amount := func(n int64) int64 { return max(0, min(n, maxAmount)) }
+	return work.Size{CPU: amount(s.CPU), Memory: amount(s.Memory), Accelerators: amount(s.Accelerators)}
+}
+
 func (a Attempt) toLeader() leader.Attempt {
 	return leader.Attempt{Task: work.TaskRef{Job: a.Job, Index: a.Index}, Attempt: a.Attempt}
 }
