--- a/internal/protocol/plat/plat.go
+++ b/internal/protocol/plat/plat.go
@@ -22,7 +22,7 @@
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
-	"github.com/tamaracklink/tamaracklink/internal/state/hostport"
+	"github.com/tamaracklink/tamaracklink/internal/state/addrs"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -122,7 +122,7 @@
 	if listed.Kind == "" {
 		return reject("no kind")
 	}
-	if err := hostport.Check(listed.Addr); err != nil {
+	if err := addrs.Check(listed.Addr); err != nil {
 		return reject("addr %q: %w", errs.Shorten(listed.Addr), err)
 	}
 	if listed.Slots < 0 || listed.Slots > maxSlots {
--- a/internal/state/hostport/hostport.go
+++ b/internal/state/addrs/addrs.go
@@ -1,6 +1,6 @@
-// Package hostport checks addresses that other processes have written, before
+// Package addrs checks addresses that other processes have written, before
 // anything is sent there.
-package hostport
+package addrs
 
 import (
 	"net"
--- a/internal/state/hostport/hostport_test.go
+++ b/internal/state/addrs/addrs_test.go
@@ -1,4 +1,4 @@
-package hostport
+package addrs
 
 import (
 	"net"
