state/sched: steps that have waited long pass gangs that keep idle workers

What callers saw: a task that could run and does not, with most of the workers free, which the users count as lost after three seconds (LOST).

Cause: a gang that does not fit keeps what is free reserved, and with other gangs holds batch steps back, for as long as the task that it waits for runs; that may be minutes. Its own need fits only once that task has ended, so meanwhile all other steps of its workers wait, though the site is idle.

Ending partial reservations after a time: under load they are what gets gangs their room.

Now, while less than half of the usable workers' processors is used, a step that has waited for 1.5 s does not leave room to gangs that don't fit yet. Both bounds are from the users' rule (three seconds, half of the capacity), less the query for tickets.

Test, failed first: TestGangThatWaitsForOneTaskKeepsMostWorkersIdle (not started after 3 s). The load tests of the package pass as before.

--- a/internal/state/sched/backfill.go
+++ b/internal/state/sched/backfill.go
@@ -11,6 +11,10 @@
 	// roomDemandTTL is how long a gang counts as waiting for room after a pass found
 	// none for it. A long backlog is evaluated in turn.
 	roomDemandTTL = 500 * time.Millisecond
+	// maxWaitBesideIdle is how long a step leaves room to gangs that don't fit yet
+	// while most of the workers are idle. Users give a step that could run three
+	// seconds, of which the query for tickets takes a part.
+	maxWaitBesideIdle = 1500 * time.Millisecond
 )
 
 // roomDemand is the room that gangs wait for.
@@ -58,3 +62,23 @@
 	left := since + ps.job.objectiveMs - now.UnixMilli()
 	return float64(left) > backfillTimeFactor*float64(ps.job.remainingMs[ps.step])
 }
+
+// waited returns for how long the step has been startable, 0 if that is not known.
+func (ps *pendingStep) waited(now time.Time) time.Duration {
+	since, ok := ps.startableSince()
+	if !ok {
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// mostlyIdle reports whether less than half of the usable workers' CPU is used.
+func (e *Engine) mostlyIdle(now time.Time) bool {
+	var used, capacity int64
+	for _, w := range e.workersByID {
+		if w.usable(now) {
+			used, capacity = used+w.used.CPU, capacity+w.Capacity.CPU
+		}
+	}
+	return 2*used < capacity
+}
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -32,6 +32,7 @@
 	lowestPriority int                    // the lowest priority (highest number) of any queue or pending step
 	stepsEvaluated int                    // steps for which workers were evaluated
 	roomDemand     roomDemand             // of gangs
+	mostlyIdle     bool                   // less than half of the usable workers' CPU is used
 	searchPause    time.Duration          // pause of a step after a search for workers to query that found none
 }
 
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -55,7 +55,7 @@
 	for _, ps := range pending {
 		p.lowestPriority = max(p.lowestPriority, ps.priority)
 	}
-	p.roomDemand = e.findRoomDemand(now, pending)
+	p.roomDemand, p.mostlyIdle = e.findRoomDemand(now, pending), e.mostlyIdle(now)
 	for i := range e.config.Queues {
 		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
 	}
@@ -69,7 +69,8 @@
 		if p.stepsEvaluated >= limit {
 			return i
 		}
-		ps.backfills = e.mayOnlyBackfill(p.now, ps, p.roomDemand)
+		ps.waitedLong = p.mostlyIdle && ps.waited(p.now) >= maxWaitBesideIdle
+		ps.backfills = !ps.waitedLong && e.mayOnlyBackfill(p.now, ps, p.roomDemand)
 		// Capacity is reserved for a gang before any of its tasks fits, and runs may
 		// be preempted for a step that is not of the lowest priority.
 		st := &ps.job.Steps[ps.step]
@@ -130,6 +131,9 @@
 	lateness  int   // 0 within its objective, 1 late, 2 too late to be useful
 	priority  int   // of its queue; 0 is the most urgent
 	backfills bool  // it may use only what waiting gangs can't
+	// waitedLong means that it has waited for maxWaitBesideIdle and most of the
+	// workers' processors are idle.
+	waitedLong bool
 }
 
 // maxLateFactor is the age, as a multiple of the objective, beyond which a
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -31,6 +31,7 @@
 	priority int    // of the step's queue
 	lateness int    // of the step when it was made
 	size     work.Size
+	partial  bool // of a gang that does not fit yet
 	expires  time.Time
 }
 
@@ -51,7 +52,9 @@
 // steps of the same or a higher priority, and drops expired reservations.
 // Reservations of lower priority don't count, so that short urgent tasks start
 // ahead of a gang that waits for capacity, nor do those of steps that are later
-// than this one: what they wait for is of less use.
+// than this one: what they wait for is of less use. A partial reservation may last
+// as long as a task runs, so it does not keep idle workers from a step that has
+// waited long.
 func (e *Engine) reservedForOthers(now time.Time, w *worker, ps pendingStep) work.Size {
 	var sum work.Size
 	if len(w.reservations) == 0 {
@@ -64,7 +67,7 @@
 			continue
 		}
 		unexpired = append(unexpired, res)
-		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness {
+		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && !(res.partial && ps.waitedLong) {
 			sum = sum.Add(res.size)
 		}
 	}
@@ -156,7 +159,7 @@
 		}
 		need -= n
 		chosen = append(chosen, c)
-		e.reserve(p, ps, c, taskSize(st).Times(int64(n)))
+		e.reserve(p, ps, c, taskSize(st).Times(int64(n)), false)
 	}
 	if preempted {
 		sp.nextPreemption = p.now.Add(preemptionInterval)
@@ -205,7 +208,7 @@
 			need--
 		}
 		if n > 0 {
-			e.reserve(p, ps, c, size.Times(int64(n)))
+			e.reserve(p, ps, c, size.Times(int64(n)), true)
 		}
 	}
 }
@@ -257,15 +260,17 @@
 
 // reserve reserves capacity on a candidate for the step. It replaces a
 // reservation that the step already has there.
-func (e *Engine) reserve(p *schedulingPass, ps pendingStep, c *candidate, size work.Size) {
+func (e *Engine) reserve(p *schedulingPass, ps pendingStep, c *candidate, size work.Size, partial bool) {
 	id := ps.stepID()
+	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, size: size, partial: partial, expires: p.now.Add(reservationTime)}
 	for i := range c.worker.reservations {
-		if c.worker.reservations[i].step == id {
-			c.worker.reservations[i].size, c.worker.reservations[i].expires = size, p.now.Add(reservationTime)
+		if old := &c.worker.reservations[i]; old.step == id {
+			res.priority, res.lateness = old.priority, old.lateness
+			*old = res
 			return
 		}
 	}
-	c.worker.reservations = append(c.worker.reservations, reservation{step: id, priority: ps.priority, lateness: ps.lateness, size: size, expires: p.now.Add(reservationTime)})
+	c.worker.reservations = append(c.worker.reservations, res)
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	sp.reservedOn = append(sp.reservedOn, c.worker)
 }
--- a/internal/state/sched/unfitting_gang_test.go
+++ b/internal/state/sched/unfitting_gang_test.go
@@ -78,3 +78,26 @@
 	is.Equal(s.violations, nil)
 	is.Equal(s.progress("batch").State, flow.Complete)
 }
+
+// TestGangThatWaitsForOneTaskKeepsMostWorkersIdle guards against steps that wait
+// although most of the workers are free, because a gang keeps these reserved until
+// a task ends that runs on for long.
+func TestGangThatWaitsForOneTaskKeepsMostWorkersIdle(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 4)
+	for id, w := range s.workers {
+		w.speed, w.info.Labels = 1, []string{id}
+	}
+	s.refreshWorkers()
+	s.run(time.Second)
+	long := taskStep(1, 8000, 60_000)
+	long.Label = "w00"
+	s.submit(newJobSpec("long", "q2", long))
+	s.run(time.Second)
+	s.submit(newJobSpec("wide", "q2", gangStep(4, 30000, 400)))
+	s.run(100 * time.Millisecond)
+	s.submit(newJobSpec("narrow", "q2", gangStep(1, 30000, 60_000)))
+	s.run(maxIdleTime)
+	is.Equal(s.violations, nil)
+	is.True(s.started[TaskID{"narrow", 0, 0, 0}])
+}
