coordination/core: a claim with the largest term does not end leadership

Callers saw: nothing yet. Ruled out by the other cases of the test, which passed before: claims of negative terms or 1e300, records nested 100,000 deep, estimates with 1e308 and int64 limits, and jobs with int64 limits, with which the next leader starts its jobs as before. Now a claim outside of 1..2^53 is skipped and logged as one that can't be decoded. TestOddLedgerRecordsEndLeadership failed first for the two claims of 2^63-1. Left: an append under the name of the leaders' producer with the largest epoch would fence them for ever; a writer that knows that name is not an odd entry.

Conclusion: an odd claim is no claim.

--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -43,6 +43,9 @@
 	// candidacyPause is the pause after a candidacy, and after stepping down. A
 	// failed append of the claim shortens it to a quarter.
 	candidacyPause = 1500 * time.Millisecond
+	// maxTerm is far above the number of elections that there can be. A claim of
+	// the largest integer would leave no later term.
+	maxTerm = 1 << 53
 )
 
 // electionState is an instance's state of the leader and of its own candidacy.
@@ -114,6 +117,9 @@
 	if err := json.Unmarshal(value, &cl); err != nil {
 		return err
 	}
+	if cl.Term < 1 || cl.Term > maxTerm {
+		return errors.Errorf("claim of instance %q: term %d is not in 1..%d", cl.Instance, cl.Term, int64(maxTerm))
+	}
 	if cl.Term < c.election.term {
 		return nil
 	}
