state/sched: runs end when another worker answers in place of theirs

Cause: runs on a crashed worker ended when its leases had expired, 10 s after the last one there, though at 45 s another worker answered at its address, which is certain: nothing of the old worker runs any more. Runs of a worker that comes back under its own ID did end with its first report.

Ruled out: the crash scores.

Now a poll that another worker or incarnation answers ends the runs whose orders are answered. Workers that are gone without a successor still need the leases to expire.

Test, failed first (nothing ran 4.5 s after the crash): TestTasksOfReplacedWorkerWaitForItsLeases. In TestTaskThatCrashesWorkersIsGivenUp the leader is now lost when the score is stored, since the task starts again less than 4.5 s after the crash; the bound of two starts stays, and the case checks that the leader was lost. It fails if scores are not stored.

Conclusion: neighbours of a crash start again when the successor is up.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// handleReplacement handles that another worker or incarnation answers at the
+// worker's address: nothing runs on the worker any more. Runs with an order in
+// flight are left for the next poll.
+func (e *Engine) handleReplacement(now time.Time, w *worker) {
+	if !w.replaced {
+		w.replaced = true
+		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, AnswerOtherIncarnation.String(), now.Sub(w.lastContact))
+	}
+	if !w.Draining {
+		e.recordCrash(now, w, 0, true)
+	}
+	for _, r := range w.sortedRuns() {
+		if r.startSent && r.ordersInFlight == 0 {
+			e.endWithoutResult(now, r, "the worker is gone, another one answers")
+		}
+	}
+}
+
 // splitSuspects returns the tasks among the given ones of a step that have no
 // crash score, and those that have one. A gang starts as a whole, so all its
 // tasks are suspect if one is.
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -21,6 +21,29 @@
 // crashDown is how long a worker is away after a crash.
 const crashDown = 3 * time.Second
 
+// whenStored stands for the moment at which the crash score of a task is stored.
+const whenStored = time.Duration(-1)
+
+// loseLeaderWithScore loses the leader once the stored crash score of the job's
+// first task exceeds the given one.
+func (s *sim) loseLeaderWithScore(job string, score int) {
+	if s.crashScore(job) > score {
+		s.engine = nil
+		s.after(time.Second, s.startLeader)
+		return
+	}
+	s.after(time.Millisecond, func() { s.loseLeaderWithScore(job, score) })
+}
+
+// crashScore returns the stored crash score of the job's first task.
+func (s *sim) crashScore(job string) int {
+	score := 0
+	for _, r := range s.progress(job).Rounds {
+		score = r.Steps[0][0].CrashScore
+	}
+	return score
+}
+
 // crashUnder makes the worker crash under a task that it has started.
 func (w *simWorker) crashUnder(id TaskID, d deadly) {
 	s, incarnation := w.sim, w.incarnation
@@ -85,7 +108,7 @@
 		name      string
 		how       deadly
 		step      flow.Step
-		lose      time.Duration // after each of the first two crashes the leader is lost this much later; 0: never
+		lose      time.Duration // after each of the first two crashes the leader is lost this much later, or whenStored; 0: never
 		maxStarts int
 	}{
 		{"worker replaced", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 0, 2},
@@ -94,7 +117,7 @@
 		{"long-running", deadly{after: 10 * time.Millisecond, replaced: true}, longRunningStep(), 0, 2},
 		{"leader lost before the worker is back", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 500 * time.Millisecond, 4},
 		{"leader lost before the restart", deadly{after: 10 * time.Millisecond}, taskStep(1, 2000, 700), 500 * time.Millisecond, 4},
-		{"leader lost before the task starts again", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), 4500 * time.Millisecond, 2},
+		{"leader lost before the task starts again", deadly{after: 10 * time.Millisecond, replaced: true}, taskStep(1, 2000, 700), whenStored, 2},
 		{"start unanswered", deadly{replaced: true}, taskStep(1, 2000, 700), 0, 5},
 		{"start unanswered, worker restarted", deadly{}, taskStep(1, 2000, 700), 0, 5},
 		{"crash one second later", deadly{after: time.Second, replaced: true}, taskStep(1, 2000, 700), 0, 5},
@@ -111,6 +134,10 @@
 					return
 				}
 				losses++
+				if tt.lose == whenStored {
+					s.loseLeaderWithScore("deadly", s.crashScore("deadly"))
+					return
+				}
 				s.after(tt.lose, func() { s.engine = nil })
 				s.after(tt.lose+time.Second, s.startLeader)
 			}
@@ -128,6 +155,7 @@
 				t.Errorf("invariant violated: %s", s.violations[0])
 			}
 			is.Equal(s.progress("deadly").State, flow.Failed)
+			is.Equal(s.term > 1, tt.lose != 0)
 			for id, n := range s.crashStarts {
 				if n > tt.maxStarts {
 					t.Errorf("%v: got %d starts, want at most %d", id, n, tt.maxStarts)
@@ -263,3 +291,34 @@
 		})
 	}
 }
+
+// TestTasksOfReplacedWorkerWaitForItsLeases guards against tasks that don't run
+// though it is known that their worker has crashed: another one answers at its
+// address, seconds before the leases that it had expire.
+func TestTasksOfReplacedWorkerWaitForItsLeases(t *testing.T) {
+	for name, st := range map[string]flow.Step{"tasks": taskStep(4, 2000, 6000), "gang": gangStep(4, 9000, 6000)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 8)
+			s.gangsDisturbed = true
+			s.params.MaxLease = 10 * time.Second
+			s.engine = nil
+			s.startLeader()
+			s.run(16 * time.Second)
+			s.submit(newJobSpec("a", "q1", st))
+			s.run(time.Second)
+			crashed := s.runWorkers[runKey{TaskID{Job: "a"}, 1}]
+			is.True(crashed != nil)
+			crashed.crashAndReplace(crashDown)
+			s.run(crashDown + 1500*time.Millisecond)
+			w, r := s.findMember(TaskID{Job: "a"}, 2)
+			is.True(r != nil) // runs again
+			is.True(w != crashed)
+			s.run(30 * time.Second)
+			is.Equal(s.progress("a").State, flow.Complete)
+			if len(s.violations) > 0 {
+				t.Errorf("invariant violated: %s", s.violations[0])
+			}
+		})
+	}
+}
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -72,12 +72,8 @@
 		e.addEvent("worker-silent", TaskID{}, 0, w.ID, a.String(), took)
 	}
 	w.failedPolls++
-	if a == AnswerOtherIncarnation && !w.replaced {
-		w.replaced = true
-		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, a.String(), now.Sub(w.lastContact))
-		if !w.Draining {
-			e.recordCrash(now, w, 0, true)
-		}
+	if a == AnswerOtherIncarnation && o.Addr == w.Addr {
+		e.handleReplacement(now, w)
 	}
 	pause := min(pollRetryPause<<min(w.failedPolls-1, 4), maxPollRetryPause)
 	w.nextPoll = now.Add(pause)
