state/sched: a start is not sent to a worker that has shrunk since its decision

What callers may see: a worker that does not check its capacity is brought over it (LIMIT), when it shrinks between the decision for a start and the order, which is sent once its record is stored. An append takes seconds when the store is slow or away.

Cause: the start that waits for its record was checked against the list's state of the worker (gone, draining, silent) and its ticket, not against its capacity.

Ruled out by tests that pass without it: that a pass places tasks beside more than fits on a shrunk worker, also beside runs that are being stopped, reserved capacity or gangs; that the index keeps the earlier capacity; that capacity is not used again when it grows (TestStartsFitWorkersOfChangingCapacity, TestNothingStartsBesideStoppingRunsOnShrunkWorker).

Now such a start is not ordered while the runs on its worker exceed the capacity; the task is placed again.

--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -89,6 +89,8 @@
 		e.endWithoutResult(now, r, "not ordered: the worker is leaving or silent")
 	case r.ticket != "" && now.After(r.ticketExpires):
 		e.endWithoutResult(now, r, "not ordered: the ticket expired")
+	case !r.worker.used.FitsIn(r.worker.Capacity):
+		e.endWithoutResult(now, r, "not ordered: the worker's capacity has shrunk")
 	default:
 		e.sendStart(now, r)
 	}
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -118,6 +118,7 @@
 	tasksHang      bool
 	tasksFail      bool
 	waitingPoll    *longPoll
+	room           work.Size  // what starts may use if its capacity changes, see resize; else zero
 	successor      *simWorker // has its address, nil if none has
 }
 
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -139,7 +139,7 @@
 	if s.ackedDone[o.Task] {
 		s.violation("TWICE: %v run %d starts after an acknowledged end", o.Task, o.Run)
 	}
-	if used := w.used().Add(step.Size); !used.FitsIn(w.info.Capacity) {
+	if used := w.used().Add(step.Size); !used.FitsIn(w.limit()) {
 		s.violation("LIMIT: %v brings %s to %v", o.Task, w.info.ID, used)
 	}
 	for _, dependency := range step.After {
