state/sched: an unanswered start is not repeated on a worker that has shrunk

What callers may see: a worker that does not check its capacity is brought over it (LIMIT) by the repetition of a start that it did not answer, after it has shrunk.

Cause: the repetition was checked against the worker's answers to polls, its incarnation and the ticket, not against its capacity.

Now the run is stopped there instead, like one whose ticket has expired.

Test, failed first (the start was repeated): TestUnansweredStartIsNotRepeatedOnShrunkWorker.

--- a/internal/state/sched/capacity_test.go
+++ b/internal/state/sched/capacity_test.go
@@ -163,6 +163,31 @@
 	is.Equal(len(rig.step(true, running...)), 1) // the third starts when there is room again
 }
 
+// TestUnansweredStartIsNotRepeatedOnShrunkWorker guards against the repetition of
+// a start on a worker that has shrunk since the first try.
+func TestUnansweredStartIsNotRepeatedOnShrunkWorker(t *testing.T) {
+	is := is.New(t)
+	rig := newResizeRig()
+	rig.step(true)
+	rig.submit("a", taskStep(3, 1000, 500))
+	starts := rig.step(true)
+	is.Equal(len(starts), 3)
+	rig.e.HandleStartAnswer(rig.now, starts[0], AnswerOK, 0)
+	rig.e.HandleStartAnswer(rig.now, starts[1], AnswerOK, 0)
+	rig.list(2000)
+	rig.e.HandleStartAnswer(rig.now, starts[2], AnswerNone, 0)
+	orders := rig.e.TakeOutput().Orders
+	running := []Running{{Task: starts[0].Task, Run: 1}, {Task: starts[1].Task, Run: 1}}
+	for range 5 {
+		orders = append(orders, rig.step(true, running...)...)
+	}
+	is.True(len(orders) > 0)
+	for _, o := range orders {
+		is.Equal(o.Kind, OrderStop)
+		is.Equal(o.Task, starts[2].Task)
+	}
+}
+
 // TestNothingStartsBesideStoppingRunsOnShrunkWorker guards against starts that
 // use the capacity of runs that are being stopped, or that reservations keep,
 // once the worker has shrunk.
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -152,12 +152,15 @@
 	case r.startUnanswered && r.stopReason == "" && !r.worker.reachable():
 		// It may have crashed. A start is not repeated to another incarnation.
 	case r.startUnanswered && r.stopReason == "":
-		if r.worker.lastIncarnation != r.incarnation {
+		switch {
+		case r.worker.lastIncarnation != r.incarnation:
 			e.stopRun(now, r, "the start was not answered before the worker restarted")
-		} else if r.startAttempts < maxStartAttempts && (r.ticket == "" || now.Before(r.ticketExpires)) {
-			e.sendStart(now, r)
-		} else {
+		case !r.worker.used.FitsIn(r.worker.Capacity):
+			e.stopRun(now, r, "the start was not answered before the worker's capacity shrank")
+		case r.startAttempts >= maxStartAttempts || r.ticket != "" && !now.Before(r.ticketExpires):
 			e.stopRun(now, r, "the start was not answered")
+		default:
+			e.sendStart(now, r)
 		}
 	}
 }
