--- a/internal/protocol/plat/plat.go
+++ b/internal/protocol/plat/plat.go
@@ -21,8 +21,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/member"
-	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/addrs"
+	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -104,16 +104,17 @@
 	if !w.replaced {
 		w.replaced = true
 		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, AnswerOtherIncarnation.String(), now.Sub(w.lastContact))
-		if !w.Draining {
-			e.recordCrash(now, w, 0, true)
-		}
+	}
+	if !w.Draining {
+		e.recordCrash(now, w, 0, true)
 	}
 	if !w.hasAnswered() {
 		return
 	}
+	// Runs with an order in flight are left for the next poll.
 	for _, r := range w.sortedRuns() {
 		if r.startSent && r.ordersInFlight == 0 {
-			e.endWithoutResult(now, r, "another worker answers at the address")
+			e.endWithoutResult(now, r, "the worker is gone, another one answers")
 		}
 	}
 }
