state/sched: tasks that started before the last one on a crashed worker score less

Cause: the neighbours start again sooner, while further deadly tasks come, and a task that had started up to 0.2 s before the last one on the worker scored as much as that one.

A task crashes its worker by its start only if no other has started there later; answers to starts that are sent together are some ms apart. Now a run counts as just started if none was confirmed more than 30 ms after it, and otherwise as young, which adds 1.

Ruled out: a task that needs longer than 30 ms and beside which others start. It scores 1 at least with each crash and is given up at the fourth.

Test, failed first (given up after the second crash): TestEarlierNeighbourOfCrashIsNotGivenUp.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -16,6 +16,10 @@
 	// freshRunAge is the age up to which a run may have crashed its worker by its
 	// start. It is short against pollWait, so that runs beside it are older.
 	freshRunAge = 200 * time.Millisecond
+	// startSpread is the time within which starts that are sent together are
+	// confirmed. A run crashes its worker by its start only if no other run has
+	// started later than that.
+	startSpread = 30 * time.Millisecond
 	// youngRunAge is the age up to which a run may have crashed its worker soon
 	// after its start.
 	youngRunAge = 2 * time.Second
@@ -40,7 +44,7 @@
 	switch seen := r.worker.lastContact.Sub(r.startedAt); {
 	case !r.confirmed:
 		return crashUnconfirmed
-	case seen <= freshRunAge && lastStart.Sub(r.startedAt) <= freshRunAge:
+	case seen <= freshRunAge && lastStart.Sub(r.startedAt) <= startSpread:
 		return crashFresh
 	case seen <= youngRunAge:
 		return crashYoung
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -322,3 +322,54 @@
 		})
 	}
 }
+
+// TestEarlierNeighbourOfCrashIsNotGivenUp guards against a task that is given up
+// after two or three crashes though on each worker another task had started after
+// it.
+func TestEarlierNeighbourOfCrashIsNotGivenUp(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
+	e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
+	orders := func(kind OrderKind) []Order {
+		e.Tick(now)
+		e.Schedule(now)
+		e.HandleCommit(now, e.Batch())
+		var out []Order
+		for _, o := range e.TakeOutput().Orders {
+			if o.Kind == kind {
+				out = append(out, o)
+			}
+		}
+		return out
+	}
+	start := func(id string) {
+		for _, o := range orders(OrderStart) {
+			is.Equal(o.Task.Job, id)
+			e.HandleStartAnswer(now, o, AnswerOK, 0)
+			return
+		}
+		t.Fatalf("no start of job %s", id)
+	}
+	submit := func(id string) {
+		e.AddJob(now, &flow.Job{Spec: &flow.Spec{ID: id, Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}})
+	}
+	submit("a")
+	for _, id := range []string{"w1", "w2", "w3"} {
+		now = now.Add(time.Second)
+		e.SetWorkers(now, []WorkerInfo{{ID: id, Addr: "x", Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
+		polls := orders(OrderPoll)
+		is.Equal(len(polls), 1)
+		e.HandlePollReport(now, polls[0], Report{Incarnation: 1})
+		start("a")
+		now = now.Add(60 * time.Millisecond)
+		polls = orders(OrderPoll)
+		is.Equal(len(polls), 1)
+		submit("b-" + id)
+		start("b-" + id)
+		now = now.Add(10 * time.Millisecond)
+		e.HandlePollFailure(now, polls[0], AnswerOtherIncarnation, 0)
+		is.Equal(e.jobs["a"].State, flow.Active) // after crashes of w1 to w3
+		e.Cancel(now, "b-"+id)
+	}
+}
