state/sched: failing test of starts after an outage with workers that have shrunk

The store is away for 8 s while simulated workers shrink. When it returns, what was decided before is sent, and passes go on with the list of workers from before, until the next one is read: starts exceed the capacity of workers that shrank more than 4.5 s ago (LIMIT; contact_ms and a heartbeat). With outages of 1 s, and without, nothing exceeds it.

Conclusion: the age of the list has to bound the starts.

--- a/internal/state/sched/capacity_test.go
+++ b/internal/state/sched/capacity_test.go
@@ -34,64 +34,74 @@
 	return w.room
 }
 
+// resizeDay is what happens beside the changes of capacity.
+type resizeDay struct {
+	name       string
+	outage     time.Duration // of the store, after each outagePace jobs
+	outagePace int           // 0: none
+	lose       bool          // the leader is lost now and then
+}
+
 // TestStartsFitWorkersOfChangingCapacity guards against starts that exceed the
 // capacity of a worker that has shrunk, and against capacity that is not used
 // again after it has grown.
 func TestStartsFitWorkersOfChangingCapacity(t *testing.T) {
-	tests := []struct {
-		name   string
-		outage time.Duration // of the store, now and then
-		lose   bool          // the leader is lost now and then
-	}{
-		{"undisturbed", 0, false},
-		{"leader lost", 0, true},
-		{"short outages", time.Second, false},
+	for _, day := range []resizeDay{{name: "undisturbed"}, {name: "leader lost", lose: true}, {name: "short outages", outage: time.Second, outagePace: 20}} {
+		day.play(t)
 	}
-	for _, tt := range tests {
-		for seed := range uint64(4) {
-			t.Run(fmt.Sprintf("%s/seed=%d", tt.name, seed), func(t *testing.T) {
-				is := is.New(t)
-				s := newSim(t, seed, 8)
-				s.gangsDisturbed = tt.lose || tt.outage > 0
-				s.run(time.Second)
-				for i := range 200 {
-					switch i % 4 {
-					case 0:
-						st := taskStep(8, 6000, 1200)
-						st.Checkpointing = i%8 == 0
-						s.submit(newJobSpec(fmt.Sprintf("t%d", i), "q2", st))
-					case 1:
-						s.submit(newJobSpec(fmt.Sprintf("g%d", i), "q0", gangStep(4, 9000, 800)))
-					case 2:
-						s.submit(newJobSpec(fmt.Sprintf("u%d", i), "q1", taskStep(6, 3000, 500)))
-					}
-					if i%10 == 9 {
-						s.cancel(fmt.Sprintf("t%d", i-i%4))
-					}
-					if i%3 == 0 {
-						w := s.workers[s.workerNames[s.rng.IntN(8)]]
-						w.resize(work.Size{CPU: int64(2000 + 30000*s.rng.Float64()), Memory: int64(2000 + 126000*s.rng.Float64())})
-					}
-					if tt.outage > 0 && i%20 == 10 {
-						s.storeDown = true
-						s.after(tt.outage, func() { s.storeDown = false })
-					}
-					if tt.lose && i%50 == 25 {
-						s.engine = nil
-						s.after(time.Second, s.startLeader)
-					}
-					s.run(150 * time.Millisecond)
+}
+
+// TestStartsFitShrunkWorkersAfterOutage guards against starts that are sent when
+// the store returns, with the list of workers from before the outage.
+func TestStartsFitShrunkWorkersAfterOutage(t *testing.T) {
+	resizeDay{name: "long outages", outage: 8 * time.Second, outagePace: 80}.play(t)
+}
+
+// play plays the day with four seeds.
+func (day resizeDay) play(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("%s/seed=%d", day.name, seed), func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, seed, 8)
+			s.gangsDisturbed = day.lose || day.outage > 0
+			s.run(time.Second)
+			for i := range 200 {
+				switch i % 4 {
+				case 0:
+					st := taskStep(8, 6000, 1200)
+					st.Checkpointing = i%8 == 0
+					s.submit(newJobSpec(fmt.Sprintf("t%d", i), "q2", st))
+				case 1:
+					s.submit(newJobSpec(fmt.Sprintf("g%d", i), "q0", gangStep(4, 9000, 800)))
+				case 2:
+					s.submit(newJobSpec(fmt.Sprintf("u%d", i), "q1", taskStep(6, 3000, 500)))
 				}
-				for _, name := range s.workerNames {
-					s.workers[name].resize(work.Size{CPU: 32000, Memory: 128 << 10})
+				if i%10 == 9 {
+					s.cancel(fmt.Sprintf("t%d", i-i%4))
 				}
-				s.run(40 * time.Second)
-				if len(s.violations) > 0 {
-					t.Errorf("invariant violated: %s", s.violations[0])
+				if i%3 == 0 {
+					w := s.workers[s.workerNames[s.rng.IntN(8)]]
+					w.resize(work.Size{CPU: int64(2000 + 30000*s.rng.Float64()), Memory: int64(2000 + 126000*s.rng.Float64())})
 				}
-				is.True(s.allJobsEnded())
-			})
-		}
+				if day.outagePace > 0 && i%day.outagePace == 10 {
+					s.storeDown = true
+					s.after(day.outage, func() { s.storeDown = false })
+				}
+				if day.lose && i%50 == 25 {
+					s.engine = nil
+					s.after(time.Second, s.startLeader)
+				}
+				s.run(150 * time.Millisecond)
+			}
+			for _, name := range s.workerNames {
+				s.workers[name].resize(work.Size{CPU: 32000, Memory: 128 << 10})
+			}
+			s.run(40 * time.Second)
+			if len(s.violations) > 0 {
+				t.Errorf("invariant violated: %s", s.violations[0])
+			}
+			is.True(s.allJobsEnded())
+		})
 	}
 }
 
