state/sched: nothing starts by an old list of workers

What callers may see: a worker that does not check its capacity is brought over it (LIMIT). When the store returns after an outage, starts are sent by the list of workers from before, and a worker may have shrunk meanwhile; the same while the list can't be read and appends can.

Cause: the age of the list bounded nothing. A smaller capacity counts contact_ms and one heartbeat after the change, and an entry shows it within a heartbeat, so a list that was requested up to contact_ms ago is enough.

Now passes do nothing, stored starts are not sent, and unanswered ones not repeated while the list is older than Params.MaxListAge, contact_ms on the platform, as of when it was requested.

--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -202,15 +202,16 @@
 		return
 	}
 	l.busy, l.nextAt = true, now.Add(listInterval)
+	requestedAt := now
 	c.parts.Go(func() {
 		ctx, cancel := context.WithTimeout(c.ctx, listTimeout)
 		defer cancel()
 		list, err := c.settings.Workers.List(ctx)
-		c.post(func(now time.Time) { c.applyWorkerList(now, list, err) })
+		c.post(func(now time.Time) { c.applyWorkerList(now, requestedAt, list, err) })
 	})
 }
 
-func (c *Core) applyWorkerList(now time.Time, list []sched.WorkerInfo, err error) {
+func (c *Core) applyWorkerList(now, requestedAt time.Time, list []sched.WorkerInfo, err error) {
 	c.listing.busy = false
 	if err != nil {
 		if !c.listing.failed {
@@ -222,6 +223,7 @@
 	c.listing.failed = false
 	if c.engine != nil {
 		c.engine.SetWorkers(now, list)
+		c.engine.SetListTime(requestedAt)
 		c.decisionDue = true
 	}
 }
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -113,7 +113,7 @@
 	s.mu.Unlock()
 	c := core.New(core.Settings{
 		Instance: name, Incarnation: incarnation, Domain: s.domain(name), Addr: name, Machine: machine,
-		Params: sched.Params{MaxLease: MaxLease, LeaderLease: 4 * time.Second, Retention: 120 * time.Second},
+		Params: sched.Params{MaxLease: MaxLease, LeaderLease: 4 * time.Second, Retention: 120 * time.Second, MaxListAge: 3 * time.Second},
 		Log:    s.Store.Log(name), ConfigLog: s.configLog.Log(name), Directory: s.directory.Log(name),
 		DecodeConfig: s.decodeConfig,
 		Workers:      s.Fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(startedAt) },
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -54,6 +54,9 @@
 	// record that was stored. A later leader relies on this limit.
 	LeaderLease time.Duration
 	Retention   time.Duration // how long the state of an ended job stays available
+	// MaxListAge is the age of the list of workers beyond which nothing starts, 0 if
+	// there is no limit. Workers may have shrunk since it was read.
+	MaxListAge time.Duration
 }
 
 // Engine holds the scheduling state of one leader. It is not safe for
@@ -70,6 +73,7 @@
 	endedJobs            []*job        // roughly in the order in which they ended
 	workers              map[string]*worker
 	workersByID          []*worker // sorted by ID
+	listedAt             time.Time // as of when the list of workers is
 	checks               checkQueue
 	index                *workerIndex
 	clients              map[string]*placementClient
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -24,9 +24,9 @@
 
 // Schedule makes a scheduling pass: it places the tasks that can start now,
 // reserves capacity, preempts runs, and queries the placement service for
-// missing tickets.
+// missing tickets. It does nothing while the list of workers is too old.
 func (e *Engine) Schedule(now time.Time) {
-	if e.config == nil {
+	if e.config == nil || !e.listIsCurrent(now) {
 		return
 	}
 	pending := e.pendingSteps(now)
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -89,6 +89,8 @@
 		e.endWithoutResult(now, r, "not ordered: the worker is leaving or silent")
 	case r.ticket != "" && now.After(r.ticketExpires):
 		e.endWithoutResult(now, r, "not ordered: the ticket expired")
+	case !e.listIsCurrent(now):
+		e.endWithoutResult(now, r, "not ordered: the list of workers is too old")
 	case !r.worker.used.FitsIn(r.worker.Capacity):
 		e.endWithoutResult(now, r, "not ordered: the worker's capacity has shrunk")
 	default:
@@ -149,8 +151,9 @@
 		if now.Sub(r.stopSentAt) >= pause {
 			e.sendStop(now, r)
 		}
-	case r.startUnanswered && r.stopReason == "" && !r.worker.reachable():
-		// It may have crashed. A start is not repeated to another incarnation.
+	case r.startUnanswered && r.stopReason == "" && (!r.worker.reachable() || !e.listIsCurrent(now)):
+		// It may have crashed, or shrunk. A start is not repeated to another
+		// incarnation.
 	case r.startUnanswered && r.stopReason == "":
 		switch {
 		case r.worker.lastIncarnation != r.incarnation:
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -174,7 +174,7 @@
 func newSim(t *testing.T, seed uint64, n int) *sim {
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000),
-		params: Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: 120 * time.Second},
+		params: Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: 120 * time.Second, MaxListAge: 3 * time.Second},
 		jobs:   map[string]*storedJob{}, workers: map[string]*simWorker{}, runWorkers: map[runKey]*simWorker{}, allowedShare: 1, stopTime: 100 * time.Millisecond, stepWork: map[string]jobWork{},
 		started: map[TaskID]bool{}, ackedDone: map[TaskID]bool{}, done: map[TaskID]bool{}, savedWork: map[TaskID]time.Duration{}, ackedFailures: map[TaskID]int{},
 		deadly: map[string]deadly{}, crashes: map[TaskID]int{}, crashStarts: map[TaskID]int{}, laterStarts: map[TaskID]int{},
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -89,6 +89,7 @@
 // SetWorkers updates the known workers from the newest list. A worker that
 // answers polls stays listed for unlistedGrace after its entry is gone.
 func (e *Engine) SetWorkers(now time.Time, list []WorkerInfo) {
+	e.listedAt = now
 	present := map[string]bool{}
 	for _, info := range list {
 		present[info.ID] = true
@@ -121,6 +122,15 @@
 	e.removeUnlistedWorkers()
 }
 
+// SetListTime sets as of when the list is that was passed to SetWorkers last, if
+// it is from before that call.
+func (e *Engine) SetListTime(at time.Time) { e.listedAt = at }
+
+// listIsCurrent reports whether the list of workers is recent enough for starts.
+func (e *Engine) listIsCurrent(now time.Time) bool {
+	return e.params.MaxListAge == 0 || now.Sub(e.listedAt) <= e.params.MaxListAge
+}
+
 func listedDetail(info WorkerInfo) string {
 	if info.Draining {
 		return "draining"
