state/sched: a gang reserves room only where its tasks can start

What callers saw: a gang never started beside a stream of short jobs of its priority, while the room that it kept reserved stayed unused.

Cause: a partial reservation keeps room for one more task on the workers that lack the least CPU for it. It compared that with a worker's whole capacity, so it took workers where tasks that last leave too little, and it did not look at how many tasks of the step may run on one worker. Workers that could have taken the missing tasks got no reservation, and short jobs refilled them.

TestGangReservesWhereItCanStart failed first in both cases, with "the gang started after 10s; want at most 2s", and passes with the fix.

Why it works: only workers that can take one more task once tasks there end are counted towards the missing tasks and reserved.

Conclusion: room is reserved by attainable capacity and by the step's limit per worker.

--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -186,9 +186,9 @@
 }
 
 // reservePartially reserves capacity for a gang that does not fit yet: what is
-// free on each candidate, and capacity for one more task on the workers that
-// lack the least CPU for it, so that other steps don't take what becomes free
-// there.
+// free on each candidate, and capacity for one more task on those workers that
+// lack the least CPU for it and can take it once tasks there end, so that other
+// steps don't take what becomes free there.
 func (e *Engine) reservePartially(p *schedulingPass, ps pendingStep, st *flow.Step, candidates []*candidate, need int) {
 	size := taskSize(st)
 	byFree := append([]*candidate(nil), candidates...)
@@ -200,7 +200,7 @@
 	}
 	for _, c := range byFree {
 		n := c.fit
-		if need > 0 && size.Times(int64(n+1)).FitsIn(c.worker.Capacity) {
+		if need > 0 && (st.MaxPerWorker == 0 || n < st.MaxPerWorker) && size.Times(int64(n+1)).FitsIn(c.worker.attainable()) {
 			n++
 			need--
 		}
