state/sched: the restart of a worker that drained is no crash

What callers saw: a job is shown as failed although nothing is wrong with it, if four times in a row the worker of a long task drains, shuts down and comes back under the same ID.

Cause: HandlePollReport counted every run of a former incarnation as certainly crashed. The paths for a replaced worker and for expired leases asked whether the worker drains; this one did not, and could not: by then the entry may already be that of the new incarnation, which is ready.

Ruled out: the other two paths, by "rack is shut down" of TestTasksOnCrashingWorkersComplete; that worker comes back under another ID.

Why it works: the newest incarnation whose entry said that it drains is kept, and runs that were sent to it are not counted.

Conclusion: what a shutdown ends is no crash. A leader that takes over after the draining entry is gone still counts it.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -72,6 +72,9 @@
 		if r.crashRecorded || !r.startSent || r.ordersInFlight > 0 && !r.confirmed || r.incarnation == incarnation {
 			continue
 		}
+		if r.incarnation != 0 && r.incarnation == w.drained {
+			continue // it was shut down
+		}
 		crashed = append(crashed, r)
 		if r.confirmed && r.startedAt.After(lastStart) {
 			lastStart = r.startedAt
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -69,6 +69,7 @@
 	failedPolls    int // failed polls since the last report, or since its entry changed
 	lastContact    time.Time
 	answeredAddr   string          // address at which it last answered a poll, empty before the first answer
+	drained        int64           // newest incarnation whose entry said that it drains, 0 if none
 	replaced       bool            // another worker or incarnation has answered at its address since the last report
 	leasesExpireBy time.Time       // every lease granted to it has expired by then
 	leasesExpired  bool            // all its leases have expired, so no earlier run still runs
@@ -105,6 +106,9 @@
 		if changed {
 			e.checkNow(w)
 		}
+		if info.Draining {
+			w.drained = max(info.Incarnation, w.drained)
+		}
 		e.index.update(w)
 	}
 	for _, w := range e.workersByID {
