state/sched: a crash counts though the worker is listed beyond its lease

What callers saw: a task that crashes the workers that start it is started without end (31 starts in 200 s) where a crashed worker's entry stays in the list for longer than its lease lasts and its successor comes at another address.

Cause: such runs end when the leases expire. At that time the worker is still listed and nobody answers for it, so it may be cut off, and no crash was counted. The runs are forgotten then, so that nothing could be counted when the entry went.

Ruled out: an entry that goes before the lease expires, as the incident showed (gone after 3.5 s, a lease of 6 s); the case "worker listed for less than its lease" passed before.

"worker listed for longer than its lease" of TestTaskThatCrashesWorkersIsGivenUp failed first: "BUDGET: deadly.0.0.0 starts for the 3. time after three workers crashed under it", state active. It passes now, with at most five starts.

Why it works: the runs that ended by their leases are kept with the worker until it is known what became of it. They count as before when its entry goes, or when another worker or incarnation answers in its place, and are dropped if it answers itself.

Conclusion: whether a crash counts depends on what became of the worker, not on which of two times is the longer.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -60,15 +60,15 @@
 	return score
 }
 
-// recordCrash records that the worker has crashed under its runs, except those
+// recordCrash records that the worker has crashed under the given runs, except those
 // that were sent to the given incarnation, and gives up the tasks that seem to
 // crash their workers. The crash is certain if another worker or incarnation
 // answers in its place, and otherwise may be a cut of which the worker's leases
 // have expired.
-func (e *Engine) recordCrash(now time.Time, w *worker, incarnation int64, certain bool) {
+func (e *Engine) recordCrash(now time.Time, w *worker, runs []*run, incarnation int64, certain bool) {
 	var crashed []*run
 	var lastStart time.Time
-	for _, r := range w.sortedRuns() {
+	for _, r := range runs {
 		if r.crashRecorded || !r.startSent || r.ordersInFlight > 0 && !r.confirmed || r.incarnation == incarnation {
 			continue
 		}
@@ -108,7 +108,7 @@
 		w.replaced = true
 		e.addEvent("worker-replaced", TaskID{}, 0, w.ID, AnswerOtherIncarnation.String(), now.Sub(w.lastContact))
 		if !w.Draining {
-			e.recordCrash(now, w, 0, true)
+			e.recordCrash(now, w, append(w.sortedRuns(), w.lapsedRuns...), 0, true)
 		}
 	}
 	if !w.hasAnswered() {
@@ -125,7 +125,7 @@
 // that reaches maxCrashScore.
 func (e *Engine) addCrashScore(now time.Time, r *run, age crashAge, score int) {
 	t := r.task
-	if r.job.State.Final() || t.Phase != flow.Placed {
+	if r.job.State.Final() || t.Phase == flow.Done {
 		return
 	}
 	if age == crashOld && r.job.Steps[r.id.Step].LongRunning {
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -16,6 +16,7 @@
 type deadly struct {
 	after    time.Duration // from the start to the crash; 0: before the worker answers
 	replaced bool          // the worker comes back under another ID at its address
+	listed   time.Duration // if not 0: the worker comes back under another ID and address, and its former entry stays in the list for so long
 }
 
 // crashDown is how long a worker is away after a crash.
@@ -30,9 +31,12 @@
 			return
 		}
 		s.crashes[id]++
-		if d.replaced {
+		switch {
+		case d.listed > 0:
+			w.crashAndMove(d.listed)
+		case d.replaced:
 			w.crashAndReplace(crashDown)
-		} else {
+		default:
 			w.crash(crashDown)
 		}
 		if s.crashHandler != nil {
@@ -58,6 +62,14 @@
 	})
 }
 
+// crashAndMove makes the worker crash for good; another one comes at another
+// address. The worker's entry stays in the list for a while.
+func (w *simWorker) crashAndMove(listed time.Duration) {
+	w.up, w.listedUntil = false, w.sim.now.Add(listed)
+	w.reboot()
+	w.sim.after(crashDown, func() { w.sim.addWorker(fmt.Sprintf("%s-%d", w.info.ID, w.incarnation), w.info.Rack) })
+}
+
 // answerAsSuccessor answers an order to a worker that another one has replaced.
 func (s *sim) answerAsSuccessor(e *Engine, w *simWorker, o Order, reply, onTimeout func(func())) {
 	handle := func(a Answer) {
@@ -98,6 +110,8 @@
 		{"start unanswered", deadly{replaced: true}, taskStep(1, 2000, 700), 0, 5},
 		{"start unanswered, worker restarted", deadly{}, taskStep(1, 2000, 700), 0, 5},
 		{"crash one second later", deadly{after: time.Second, replaced: true}, taskStep(1, 2000, 700), 0, 5},
+		{"worker listed for less than its lease", deadly{after: 10 * time.Millisecond, listed: 3 * time.Second}, taskStep(1, 2000, 700), 0, 5},
+		{"worker listed for longer than its lease", deadly{after: 10 * time.Millisecond, listed: 9 * time.Second}, taskStep(1, 2000, 700), 0, 5},
 		{"crash five seconds later", deadly{after: 5 * time.Second, replaced: true}, taskStep(1, 2000, 7000), 0, 5},
 	}
 	for _, tt := range tests {
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -91,10 +91,10 @@
 		e.addEvent("worker-answers", TaskID{}, 0, w.ID, "", now.Sub(w.lastContact))
 	}
 	if w.lastIncarnation != report.Incarnation {
-		e.recordCrash(now, w, report.Incarnation, true)
+		e.recordCrash(now, w, append(w.sortedRuns(), w.lapsedRuns...), report.Incarnation, true)
 	}
 	first := w.clockReadAt.IsZero()
-	w.failedPolls, w.lastContact, w.leasesExpired, w.replaced = 0, now, false, false
+	w.failedPolls, w.lastContact, w.leasesExpired, w.replaced, w.lapsedRuns = 0, now, false, false, nil
 	if w.lastIncarnation != report.Incarnation {
 		if w.lastIncarnation != 0 {
 			e.addEvent("worker-restarted", TaskID{}, 0, w.ID, "", 0)
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -103,7 +103,8 @@
 	sim            *sim
 	info           WorkerInfo
 	up             bool
-	partitioned    bool // its tasks run on but no message reaches it
+	listedUntil    time.Time // its entry in the list stays until then after a crash
+	partitioned    bool      // its tasks run on but no message reaches it
 	incarnation    int64
 	bootedAt       time.Time
 	clockRate      float64
@@ -267,9 +268,12 @@
 	}
 	var list []WorkerInfo
 	for _, name := range s.workerNames {
-		if w := s.workers[name]; w.up && !(s.cutUnlisted && w.partitioned) {
+		if w := s.workers[name]; (w.up || s.now.Before(w.listedUntil)) && !(s.cutUnlisted && w.partitioned) {
 			info := w.info
 			info.Incarnation = w.incarnation
+			if !w.up {
+				info.Incarnation-- // the one that crashed
+			}
 			list = append(list, info)
 		}
 	}
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -73,6 +73,7 @@
 	replaced       bool            // another worker or incarnation has answered at its address since the last report
 	leasesExpireBy time.Time       // every lease granted to it has expired by then
 	leasesExpired  bool            // all its leases have expired, so no earlier run still runs
+	lapsedRuns     []*run          // runs that ended as its leases expired, until it is known whether it has crashed
 	ackedEnd       int64           // ends up to this number are stored and may be acknowledged
 	lastEnd        int64           // ends up to this number have been processed
 	excludedUntil  time.Time       // no task is placed on it before
@@ -122,6 +123,9 @@
 			w.listed = false
 			e.index.update(w)
 			e.addEvent("worker-unlisted", TaskID{}, 0, w.ID, "", now.Sub(w.lastContact))
+			if !w.Draining {
+				e.recordCrash(now, w, w.lapsedRuns, 0, w.replaced)
+			}
 		}
 	}
 	e.removeUnlistedWorkers()
@@ -249,10 +253,13 @@
 	}
 	w.leasesExpired = true
 	if (w.replaced || !w.listed) && !w.Draining {
-		e.recordCrash(now, w, 0, w.replaced)
+		e.recordCrash(now, w, w.sortedRuns(), 0, w.replaced)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.startSent && r.ordersInFlight == 0 {
+			if !r.crashRecorded {
+				w.lapsedRuns = append(w.lapsedRuns, r)
+			}
 			e.endWithoutResult(now, r, "lease lapsed")
 		}
 	}
