state/sched: a start doesn't go to a worker whose entry shows a restart

What callers saw: one run of a task that crashes its workers crashes the same worker twice, which the limit of starts does not count. A task whose start is stored as its worker restarts gets a crash score for a worker that it did not crash.

Cause: a changed incarnation in the list resets failedPolls, so that the worker counts as reachable before the new incarnation has answered. Until then lastIncarnation is still that of the run, and checkRun repeated the unanswered start; sendSavedStart sent a stored one.

Ruled out: starts after the new incarnation has answered; checkRun stops those. TestUnansweredStartIsNotRepeatedToRestartedWorker was to guard against the first case, but took only the polls from the orders of the step in which the start was repeated. It now looks at all orders.

Why it works: a start is sent only while the worker's entry is that of the incarnation that answered last, as a placement already requires.

Conclusion: a start goes to no incarnation that the leader has not heard.

--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -51,8 +51,7 @@
 // usable reports whether tasks may start on the worker. After a restart its
 // capacity is unknown until the list of workers contains the new incarnation.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.Draining && w.reachable() && w.unknownRuns == 0 && !now.Before(w.excludedUntil) &&
-		(w.Incarnation == 0 || w.Incarnation == w.lastIncarnation)
+	return w.listed && !w.Draining && w.reachable() && w.unknownRuns == 0 && !now.Before(w.excludedUntil) && w.entryIsCurrent()
 }
 
 // taskSize returns the capacity that a task of the step uses on a worker. CPU
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -213,6 +213,7 @@
 		e.Tick(now)
 		var out []Order
 		for _, o := range e.TakeOutput().Orders {
+			is.True(o.Kind != OrderStart) // to another incarnation
 			if o.Kind == kind {
 				out = append(out, o)
 			}
@@ -246,6 +247,25 @@
 	is.Equal(len(orders(OrderStart)), 0)
 }
 
+// TestStartIsNotSentToRestartedWorker guards against a start, stored for one
+// incarnation of a worker, that goes to the next one and counts as its crash.
+func TestStartIsNotSentToRestartedWorker(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 1, flow.PlacementService{})
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("a", "q", taskStep(1, 1000, 500))})
+	e.Schedule(testTime(0))
+	w := e.workersByID[0]
+	is.Equal(len(w.runs), 1)
+	info := w.WorkerInfo
+	info.Incarnation = 2
+	e.SetWorkers(testTime(10), []WorkerInfo{info})
+	e.HandleCommit(testTime(20), e.Batch())
+	for _, o := range e.TakeOutput().Orders {
+		is.True(o.Kind != OrderStart)
+	}
+	is.Equal(len(w.runs), 0)
+}
+
 // TestTasksOnCrashingWorkersComplete guards against tasks that are given up
 // because the workers under them crash for another reason, or are only cut off
 // or shut down.
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -90,6 +90,8 @@
 		e.endWithoutResult(now, r, "not ordered: "+r.stopReason)
 	case !r.worker.listed || r.worker.Draining || !r.worker.reachable():
 		e.endWithoutResult(now, r, "not ordered: the worker is leaving or silent")
+	case !r.worker.entryIsCurrent():
+		e.endWithoutResult(now, r, "not ordered: the worker has restarted")
 	case r.ticket != "" && now.After(r.ticketExpires):
 		e.endWithoutResult(now, r, "not ordered: the ticket expired")
 	default:
@@ -153,11 +155,14 @@
 	case r.startUnanswered && r.stopReason == "" && !r.worker.reachable():
 		// It may have crashed. A start is not repeated to another incarnation.
 	case r.startUnanswered && r.stopReason == "":
-		if r.worker.lastIncarnation != r.incarnation {
+		switch {
+		case r.worker.lastIncarnation != r.incarnation:
 			e.stopRun(now, r, "the start was not answered before the worker restarted")
-		} else if r.startAttempts < maxStartAttempts && (r.ticket == "" || now.Before(r.ticketExpires)) {
+		case !r.worker.entryIsCurrent():
+			// The next poll shows what the new incarnation runs.
+		case r.startAttempts < maxStartAttempts && (r.ticket == "" || now.Before(r.ticketExpires)):
 			e.sendStart(now, r)
-		} else {
+		default:
 			e.stopRun(now, r, "the start was not answered")
 		}
 	}
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -195,6 +195,12 @@
 // since then, or since its entry in the list changed.
 func (w *worker) reachable() bool { return w.hasAnswered() && w.failedPolls == 0 }
 
+// entryIsCurrent reports whether its entry in the list is, as far as known, that of
+// the incarnation that answered last. If not, the worker has restarted.
+func (w *worker) entryIsCurrent() bool {
+	return w.Incarnation == 0 || w.Incarnation == w.lastIncarnation
+}
+
 // hasAnswered reports whether the worker has ever answered a poll. Until then its
 // entry in the list, which another writer may have stored, is all that says that
 // it exists.
@@ -228,7 +234,7 @@
 		// leases have certainly expired by a known time.
 		o.LeaseExpiry = e.grantLease(now, w)
 	}
-	if w.reachable() && (w.Incarnation == 0 || w.Incarnation == w.lastIncarnation) {
+	if w.reachable() && w.entryIsCurrent() {
 		// Otherwise another incarnation may answer, whose ends have the same
 		// numbers, so none may be acknowledged.
 		o.AckedEnd = w.ackedEnd
