--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -16,6 +16,7 @@
 type deadly struct {
 	after    time.Duration // from the start to the crash; 0: before the worker answers
 	replaced bool          // the worker comes back under another ID at its address
+	listed   time.Duration // if not 0: the worker comes back under another ID and address, and its former entry stays in the list for so long
 }
 
 // crashDown is how long a worker is away after a crash.
@@ -53,9 +54,12 @@
 			return
 		}
 		s.crashes[id]++
-		if d.replaced {
+		switch {
+		case d.listed > 0:
+			w.crashAndMove(d.listed)
+		case d.replaced:
 			w.crashAndReplace(crashDown)
-		} else {
+		default:
 			w.crash(crashDown)
 		}
 		if s.crashHandler != nil {
@@ -81,6 +85,14 @@
 	})
 }
 
+// crashAndMove makes the worker crash for good; another one comes at another
+// address. The worker's entry stays in the list for a while.
+func (w *simWorker) crashAndMove(listed time.Duration) {
+	w.up, w.listedUntil = false, w.sim.now.Add(listed)
+	w.reboot()
+	w.sim.after(crashDown, func() { w.sim.addWorker(fmt.Sprintf("%s-%d", w.info.ID, w.incarnation), w.info.Rack) })
+}
+
 // answerAsSuccessor answers an order to a worker that another one has replaced.
 func (s *sim) answerAsSuccessor(e *Engine, w *simWorker, o Order, reply, onTimeout func(func())) {
 	handle := func(a Answer) {
@@ -121,6 +133,8 @@
 		{"start unanswered", deadly{replaced: true}, taskStep(1, 2000, 700), 0, 5},
 		{"start unanswered, worker restarted", deadly{}, taskStep(1, 2000, 700), 0, 5},
 		{"crash one second later", deadly{after: time.Second, replaced: true}, taskStep(1, 2000, 700), 0, 5},
+		{"worker listed for less than its lease", deadly{after: 10 * time.Millisecond, listed: 3 * time.Second}, taskStep(1, 2000, 700), 0, 5},
+		{"worker listed for longer than its lease", deadly{after: 10 * time.Millisecond, listed: 9 * time.Second}, taskStep(1, 2000, 700), 0, 5},
 		{"crash five seconds later", deadly{after: 5 * time.Second, replaced: true}, taskStep(1, 2000, 7000), 0, 5},
 	}
 	for _, tt := range tests {
@@ -192,6 +206,7 @@
 		e.Tick(now)
 		var out []Order
 		for _, o := range e.TakeOutput().Orders {
+			is.True(o.Kind != OrderStart) // to another incarnation
 			if o.Kind == kind {
 				out = append(out, o)
 			}
@@ -225,6 +240,25 @@
 	is.Equal(len(orders(OrderStart)), 0)
 }
 
+// TestStartIsNotSentToRestartedWorker guards against a start, stored for one
+// incarnation of a worker, that goes to the next one and counts as its crash.
+func TestStartIsNotSentToRestartedWorker(t *testing.T) {
+	is := is.New(t)
+	e := readyEngine(t, 1, flow.PlacementService{})
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("a", "q", taskStep(1, 1000, 500))})
+	e.Schedule(testTime(0))
+	w := e.workersByID[0]
+	is.Equal(len(w.runs), 1)
+	info := w.WorkerInfo
+	info.Incarnation = 2
+	e.SetWorkers(testTime(10), []WorkerInfo{info})
+	e.HandleCommit(testTime(20), e.Batch())
+	for _, o := range e.TakeOutput().Orders {
+		is.True(o.Kind != OrderStart)
+	}
+	is.Equal(len(w.runs), 0)
+}
+
 // TestTasksOnCrashingWorkersComplete guards against tasks that are given up
 // because the workers under them crash for another reason, or are only cut off
 // or shut down.
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -90,6 +90,8 @@
 		e.endWithoutResult(now, r, "not ordered: "+r.stopReason)
 	case !r.worker.listed || r.worker.Draining || !r.worker.reachable():
 		e.endWithoutResult(now, r, "not ordered: the worker is leaving or silent")
+	case !r.worker.entryIsCurrent():
+		e.endWithoutResult(now, r, "not ordered: the worker has restarted")
 	case r.ticket != "" && now.After(r.ticketExpires):
 		e.endWithoutResult(now, r, "not ordered: the ticket expired")
 	case !e.listIsCurrent(now):
@@ -161,6 +163,8 @@
 		switch {
 		case r.worker.lastIncarnation != r.incarnation:
 			e.stopRun(now, r, "the start was not answered before the worker restarted")
+		case !r.worker.entryIsCurrent():
+			// The next poll shows what the new incarnation runs.
 		case !r.worker.used.FitsIn(r.worker.Capacity):
 			e.stopRun(now, r, "the start was not answered before the worker's capacity shrank")
 		case r.startAttempts >= maxStartAttempts || r.ticket != "" && !now.Before(r.ticketExpires):
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -69,9 +69,11 @@
 	failedPolls    int // failed polls since the last report, or since its entry changed
 	lastContact    time.Time
 	answeredAddr   string          // address at which it last answered a poll, empty before the first answer
+	drained        int64           // newest incarnation whose entry said that it drains, 0 if none
 	replaced       bool            // another worker or incarnation has answered at its address since the last report
 	leasesExpireBy time.Time       // every lease granted to it has expired by then
 	leasesExpired  bool            // all its leases have expired, so no earlier run still runs
+	lapsedRuns     []*run          // runs that ended as its leases expired, until it is known whether it has crashed
 	ackedEnd       int64           // ends up to this number are stored and may be acknowledged
 	lastEnd        int64           // ends up to this number have been processed
 	excludedUntil  time.Time       // no task is placed on it before
@@ -106,6 +108,9 @@
 		if changed {
 			e.checkNow(w)
 		}
+		if info.Draining {
+			w.drained = max(info.Incarnation, w.drained)
+		}
 		e.index.update(w)
 	}
 	for _, w := range e.workersByID {
@@ -119,6 +124,9 @@
 			w.listed = false
 			e.index.update(w)
 			e.addEvent("worker-unlisted", TaskID{}, 0, w.ID, "", now.Sub(w.lastContact))
+			if !w.Draining {
+				e.recordCrash(now, w, w.lapsedRuns, 0, w.replaced)
+			}
 		}
 	}
 	e.removeUnlistedWorkers()
@@ -197,6 +205,12 @@
 // since then, or since its entry in the list changed.
 func (w *worker) reachable() bool { return w.hasAnswered() && w.failedPolls == 0 }
 
+// entryIsCurrent reports whether its entry in the list is, as far as known, that of
+// the incarnation that answered last. If not, the worker has restarted.
+func (w *worker) entryIsCurrent() bool {
+	return w.Incarnation == 0 || w.Incarnation == w.lastIncarnation
+}
+
 // hasAnswered reports whether the worker has ever answered a poll. Until then its
 // entry in the list, which another writer may have stored, is all that says that
 // it exists.
@@ -230,7 +244,7 @@
 		// leases have certainly expired by a known time.
 		o.LeaseExpiry = e.grantLease(now, w)
 	}
-	if w.reachable() && (w.Incarnation == 0 || w.Incarnation == w.lastIncarnation) {
+	if w.reachable() && w.entryIsCurrent() {
 		// Otherwise another incarnation may answer, whose ends have the same
 		// numbers, so none may be acknowledged.
 		o.AckedEnd = w.ackedEnd
@@ -255,10 +269,13 @@
 	}
 	w.leasesExpired = true
 	if (w.replaced || !w.listed) && !w.Draining {
-		e.recordCrash(now, w, 0, w.replaced)
+		e.recordCrash(now, w, w.sortedRuns(), 0, w.replaced)
 	}
 	for _, r := range w.sortedRuns() {
 		if r.startSent && r.ordersInFlight == 0 {
+			if !r.crashRecorded {
+				w.lapsedRuns = append(w.lapsedRuns, r)
+			}
 			e.endWithoutResult(now, r, "lease lapsed")
 		}
 	}
