state/sched: a worker that answers again has not crashed

Cause: a cut of a worker whose leases have expired and whose entry has gone adds to the crash scores of the tasks that had just started there, as it may be a crash. The score stayed when the worker came back as the same incarnation. So did that of a worker that a new leader first called at a wrong address, from an entry of another writer.

Why it works: a run keeps what its crash has added until its worker answers; if the incarnation is that of the run, the score is withdrawn. A worker that really crashed never answers as that incarnation.

Conclusion: the score counts crashes and cuts that have not ended. A new leader does not know which part of a stored score to withdraw.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
@@ -92,7 +93,11 @@
 			seen = max(w.lastContact.Sub(r.startedAt), 0)
 		}
 		e.addEvent("worker-crashed", r.id, r.number, w.ID, detail+", "+crashAgeNames[age], seen)
-		e.addCrashScore(now, r, age, crashScore(age, certain))
+		score := crashScore(age, certain)
+		if score > 0 {
+			e.keepCrashScore(r, score)
+		}
+		e.addCrashScore(now, r, age, score)
 	}
 }
 
@@ -121,6 +126,31 @@
 	}
 }
 
+// keepCrashScore keeps a score until the worker answers. It forgets those of ended
+// jobs.
+func (e *Engine) keepCrashScore(r *run, score int) {
+	for id, runs := range e.scoredRuns {
+		runs = slices.DeleteFunc(runs, func(r *run) bool { return r.job.State.Final() })
+		if e.scoredRuns[id] = runs; len(runs) == 0 {
+			delete(e.scoredRuns, id)
+		}
+	}
+	r.crashScore = score
+	e.scoredRuns[r.worker.ID] = append(e.scoredRuns[r.worker.ID], r)
+}
+
+// withdrawCrashScores withdraws the scores for crashes of a worker's incarnation
+// that answers: it was cut off, or its entry in the list was wrong.
+func (e *Engine) withdrawCrashScores(worker string, incarnation int64) {
+	for _, r := range e.scoredRuns[worker] {
+		if r.incarnation == incarnation && r.task.CrashScore > 0 && !r.job.State.Final() {
+			r.task.CrashScore = max(r.task.CrashScore-r.crashScore, 0)
+			e.unsavedJobs[r.job] = true
+		}
+	}
+	delete(e.scoredRuns, worker)
+}
+
 // addCrashScore adds to the crash score of a run's task, and fails its job if
 // that reaches maxCrashScore.
 func (e *Engine) addCrashScore(now time.Time, r *run, age crashAge, score int) {
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -83,9 +83,10 @@
 	output               Output
 	unsavedStarts        []*run // in the next batch; ordered once it is stored
 	unsavedAcks          map[*worker]ack
-	unsavedEnds          []reportedEnd // in the next batch
-	crashedRuns          int           // runs under which a worker has certainly crashed
-	activity             Activity      // since it was last taken
+	unsavedEnds          []reportedEnd     // in the next batch
+	scoredRuns           map[string][]*run // runs with a crash score whose worker has not answered since, by its ID
+	crashedRuns          int               // runs under which a worker has certainly crashed
+	activity             Activity          // since it was last taken
 	nextTick             time.Time
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]partialReservation // by step
@@ -111,7 +112,7 @@
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
 		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
-		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, partialReservations: map[TaskID]partialReservation{},
+		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, scoredRuns: map[string][]*run{}, partialReservations: map[TaskID]partialReservation{},
 	}
 }
 
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -93,6 +93,7 @@
 	if w.lastIncarnation != report.Incarnation {
 		e.recordCrash(now, w, append(w.sortedRuns(), w.lapsedRuns...), report.Incarnation, true)
 	}
+	e.withdrawCrashScores(w.ID, report.Incarnation)
 	first := w.clockReadAt.IsZero()
 	w.failedPolls, w.lastContact, w.leasesExpired, w.replaced, w.lapsedRuns = 0, now, false, false, nil
 	if w.lastIncarnation != report.Incarnation {
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -53,6 +53,7 @@
 	ticketExpires time.Time
 
 	incarnation   int64 // of the worker when the start was first sent
+	crashScore    int   // what its crash has added to that of the task
 	crashRecorded bool  // a crash of the worker under the run has been recorded
 }
 
