--- a/review/testdata/rig/flap.go
+++ b/review/testdata/rig/flap.go
@@ -2,29 +2,31 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
 func init() { cases["flap"] = flappingMinion }
 
-// Sizes of the case. The disruption is srv_flap as in the grown site files (share
-// 0.1, gap_s 1.4, for_s 6.5), twice.
+// Sizes of the case. The disruption is srv_crash, several times (the site file has
+// share 0.14 and for_s 4.5), which is srv_flap of the grown site files (share 0.1,
+// gap_s 1.4, for_s 6.5) twice in a row.
 const (
 	flapMinions = 10
 	flapGap     = 1400 * time.Millisecond
 	flapFor     = 6500 * time.Millisecond
 	flapTimes   = 2
-	flapPause   = 5 * time.Second // between two disruptions
-	flapWork    = 25 * time.Second
 	flapJob     = "0af23620ce4d1e70"
+	flapWide    = 8                // tasks of the first step
+	flapSettle  = 10 * time.Second // after the disruption
 )
 
-// flappingMinion lets the only minion of a kind that a job requires go down and
-// up by turns. The job may be shown as failed only if its task has ended failed.
+// flappingMinion lets a minion go down and up by turns that runs one of nine
+// lasting tasks of a job, since only this minion is of the kind that the task
+// requires. The job may not be shown as failed.
 func flappingMinion(r *rig) int {
-	const maxAttempts = 4
-	r.configure(4, maxAttempts)
-	work := func(string) taskWork { return taskWork{duration: flapWork, checkpoint: 500 * time.Millisecond} }
+	r.configure(4, 4)
+	work := func(string) taskWork { return taskWork{duration: time.Hour} }
 	var flapping *minion
 	for i := range flapMinions {
 		kind := "a"
@@ -52,56 +54,65 @@
 	if !r.startAll(20*time.Second, instances...) {
 		return exitNotRun
 	}
-	job := map[string]any{"spec": "invoices of one tenant", "steps": []map[string]any{{"count": 1, "cpu": 2000, "mem_mb": 3600, "estimate_ms": 25000, "checkpointing": true, "requirements": "b"}}}
+	job := map[string]any{"spec": "gate readers' service", "steps": []map[string]any{
+		{"count": flapWide, "cpu": 8000, "mem_mb": 8000, "daemon": true, "requirements": "a"},
+		{"count": 1, "cpu": 8000, "mem_mb": 8000, "daemon": true, "requirements": "b"},
+	}}
 	if !r.submit(instances, flapJob, job) {
 		return exitNotRun
 	}
-	if !await(5*time.Second, func() bool { return r.count("start") == 1 }) {
-		r.note("the task has not started")
+	if !await(5*time.Second, func() bool { return r.runningOf(flapJob) == flapWide+1 }) {
+		r.note("only %d tasks have started", r.runningOf(flapJob))
 		return exitNotRun
 	}
+	r.note("GET %s -> %s, %d of %d tasks run", flapJob, r.state(instances, flapJob), r.runningOf(flapJob), flapWide+1)
 	time.Sleep(3 * time.Second)
-	for i := range flapTimes {
+	for range flapTimes {
 		if !r.trouble {
-			break
-		}
-		if i > 0 {
-			time.Sleep(flapPause)
+			time.Sleep(flapFor)
+			continue
 		}
 		r.note("1 of %d minions (%s) goes down and up by turns, each %v, for %v", flapMinions, flapping.id, flapGap, flapFor)
 		for end := time.Now().Add(flapFor); time.Now().Before(end); {
 			flapping.crash()
-			time.Sleep(flapGap)
+			time.Sleep(min(flapGap, max(time.Until(end), 0)))
 			if err := flapping.boot(); err != nil {
 				r.note("can't start the minion again: %v", err)
 				return exitNotRun
 			}
 			time.Sleep(min(flapGap, max(time.Until(end), 0)))
 		}
-		r.note("the minion stays up")
 	}
-	state, shown := "", ""
-	await(60*time.Second, func() bool {
-		state = r.state(instances, flapJob)
-		if state != shown && state != "" {
-			r.note("GET %s -> %s", flapJob, state)
-			shown = state
-		}
-		return state == "complete" || state == "failed" || state == "canceled"
-	})
-	failedEnds := 0
+	r.note("the minions stay up")
+	time.Sleep(flapSettle)
+	state, running, failedEnds := r.state(instances, flapJob), r.runningOf(flapJob), 0
 	for _, a := range r.journal.all() {
-		r.note("minion %s, boot %d: %s %s run %d %s (at %.3f)", a.minion, a.boot, a.what, a.task, a.run, a.how, a.at.Sub(r.began).Seconds())
+		r.note("minion %s, boot %d, at %.3f: %s %s run %d %s", a.minion, a.boot, a.at.Sub(r.began).Seconds(), a.what, a.task, a.run, a.how)
 		if a.how == "failed" {
 			failedEnds++
 		}
 	}
-	r.note("the job is shown as %q; ends that were listed as failed: %d, max_attempts: %d", state, failedEnds, maxAttempts)
+	r.note("GET %s -> %s, %d of %d tasks run; ends that were listed as failed: %d; nobody has cancelled the job", flapJob, state, running, flapWide+1, failedEnds)
 	switch {
-	case state == "complete":
-		return exitHeld
-	case (state == "failed" && failedEnds < maxAttempts) || state == "canceled":
+	case state == "failed" || state == "canceled":
 		return exitBroken
+	case state == "active" && running == flapWide+1:
+		return exitHeld
 	}
 	return exitNotRun
 }
+
+// runningOf returns how many tasks of a job run.
+func (r *rig) runningOf(id string) int {
+	n := 0
+	for _, m := range r.minions {
+		m.mu.Lock()
+		for task := range m.runs {
+			if strings.HasPrefix(task, id+".") {
+				n++
+			}
+		}
+		m.mu.Unlock()
+	}
+	return n
+}
