--- a/review/testdata/rig/instance.go
+++ b/review/testdata/rig/instance.go
@@ -224,12 +224,6 @@
 	}
 }
 
-func (in *instance) running() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return in.process != nil
-}
-
 // ready reports whether GET /readyz answers 200.
 func (in *instance) ready() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/testdata/rig/store.go
+++ b/review/testdata/rig/store.go
@@ -200,7 +200,8 @@
 	if epoch > p.epoch {
 		*p = producer{epoch: epoch, seq: seq - 1, answers: map[int64][2]int64{}}
 	}
-	status, reply := http.StatusOK, map[string]any{}
+	status := http.StatusOK
+	var reply map[string]any
 	last, repeated := p.answers[seq]
 	switch {
 	case epoch < p.epoch:
