state/sched: a crash is counted once by leaders in succession

Cause: a leader that finds another worker at the address of a run's worker adds to the task's crash score, which is stored at once, and leaves the run placed until the leases have expired. That the score includes the run was in memory only, so each further leader added it again; the fourth gave up the job.

Now the run that was counted, and what it added, are stored in the same record as the score. A later leader counts it no further, and can withdraw it if the worker answers after all.

Ruled out: tasks that crashed several workers; starts that were stored and not sent (1 each at most, 4 needed).

--- a/internal/state/flow/codec.go
+++ b/internal/state/flow/codec.go
@@ -9,13 +9,19 @@
 // codecVersion is the first number of each stored progress record.
 const codecVersion = 1
 
-// sectionCrashes is the first number of the section that may follow the rounds: a
-// count, then for each task with a crash score the indexes of its round, of its
-// step and within the step, and the score.
-const sectionCrashes = 1
+// Sections that may follow the rounds, in this order. Each begins with its number
+// and a count of tasks. For each task follow the indexes of its round, of its step
+// and within the step, and the section's fields.
+const (
+	sectionCrashes     = 1 // of tasks with a crash score: the score
+	sectionCrashedRuns = 2 // of tasks with a counted crash: the newest such run, and what its crash added
+)
 
-// maxCrashScore bounds the scores that a record may hold.
-const maxCrashScore = 1 << 20
+// Bounds of the numbers that a record may hold.
+const (
+	maxCrashScore = 1 << 20 // of a task
+	maxRun        = 1 << 40 // of a run, or of a count of runs
+)
 
 // errMalformed is returned for a progress record that is truncated or holds a
 // number out of its range.
@@ -41,7 +47,18 @@
 			}
 		}
 	}
-	e.appendCrashes(p)
+	e.appendSection(p, sectionCrashes, func(t *Task) []int {
+		if t.CrashScore == 0 {
+			return nil
+		}
+		return []int{t.CrashScore}
+	})
+	e.appendSection(p, sectionCrashedRuns, func(t *Task) []int {
+		if t.LastCrashedRun == 0 {
+			return nil
+		}
+		return []int{t.LastCrashedRun, t.LastCrashScore}
+	})
 	return e.b
 }
 
@@ -62,14 +79,15 @@
 	e.b = append(e.b, s...)
 }
 
-// appendCrashes appends the section of crash scores if any task has one.
-func (e *encoder) appendCrashes(p *Progress) {
-	var entries [][4]int
+// appendSection appends a section with the tasks for which fields returns any. It
+// appends nothing if there is no such task.
+func (e *encoder) appendSection(p *Progress, section int64, fields func(t *Task) []int) {
+	var entries [][]int
 	for i, r := range p.Rounds {
 		for step, tasks := range r.Steps {
 			for k := range tasks {
-				if score := tasks[k].CrashScore; score > 0 {
-					entries = append(entries, [4]int{i, step, k, score})
+				if values := fields(&tasks[k]); len(values) > 0 {
+					entries = append(entries, append([]int{i, step, k}, values...))
 				}
 			}
 		}
@@ -77,7 +95,7 @@
 	if len(entries) == 0 {
 		return
 	}
-	e.appendVarint(sectionCrashes)
+	e.appendVarint(section)
 	e.appendVarint(int64(len(entries)))
 	for _, entry := range entries {
 		for _, n := range entry {
@@ -110,8 +128,19 @@
 	for n := d.readBounded(int64(len(b))); n > 0 && d.err == nil; n-- {
 		p.Rounds = append(p.Rounds, d.readRound())
 	}
-	if d.err == nil && len(d.b) > 0 && d.readVarint() == sectionCrashes {
-		d.readCrashes(&p)
+	for d.err == nil && len(d.b) > 0 {
+		switch d.readVarint() {
+		case sectionCrashes:
+			d.readSection(&p, func(t *Task) { t.CrashScore = int(d.readBounded(maxCrashScore)) })
+		case sectionCrashedRuns:
+			d.readSection(&p, func(t *Task) {
+				t.LastCrashedRun = int(d.readBounded(maxRun))
+				t.LastCrashScore = int(d.readBounded(maxCrashScore))
+			})
+		default:
+			// It is from a later version, and its length is not known.
+			return p, d.err
+		}
 	}
 	return p, d.err
 }
@@ -180,9 +209,9 @@
 
 func (d *decoder) readTask(t *Task) {
 	t.Phase = Phase(d.readBounded(int64(Done)))
-	t.Run = int(d.readBounded(1 << 40))
-	t.FailedRuns = int(d.readBounded(1 << 40))
-	t.LastFailedRun = int(d.readBounded(1 << 40))
+	t.Run = int(d.readBounded(maxRun))
+	t.FailedRuns = int(d.readBounded(maxRun))
+	t.LastFailedRun = int(d.readBounded(maxRun))
 	t.Saved = d.readString()
 	if t.Phase == Placed {
 		t.Worker = d.readString()
@@ -190,7 +219,9 @@
 	}
 }
 
-func (d *decoder) readCrashes(p *Progress) {
+// readSection reads the count of a section and its tasks. read reads the fields of
+// one of them.
+func (d *decoder) readSection(p *Progress, read func(t *Task)) {
 	for n := d.readBounded(int64(len(d.b))); n > 0 && d.err == nil; n-- {
 		round := d.readBounded(int64(len(p.Rounds)) - 1)
 		if d.err != nil {
@@ -202,9 +233,9 @@
 			return
 		}
 		i := d.readBounded(int64(len(steps[step])) - 1)
-		score := int(d.readBounded(maxCrashScore))
-		if d.err == nil {
-			steps[step][i].CrashScore = score
+		if d.err != nil {
+			return
 		}
+		read(&steps[step][i])
 	}
 }
--- a/internal/state/flow/flow_test.go
+++ b/internal/state/flow/flow_test.go
@@ -73,7 +73,10 @@
 				tasks[i] = Task{
 					Phase: Phase(rapid.IntRange(0, int(Done)).Draw(t, "phase")), Run: rapid.IntRange(0, 99).Draw(t, "run"),
 					FailedRuns: rapid.IntRange(0, 9).Draw(t, "fails"), LastFailedRun: rapid.IntRange(0, 9).Draw(t, "failed"), Saved: names.Draw(t, "saved"),
-					CrashScore: max(rapid.IntRange(-3, 4).Draw(t, "crashes"), 0),
+					CrashScore: max(rapid.IntRange(-3, 4).Draw(t, "crashes"), 0), LastCrashedRun: max(rapid.IntRange(-3, 9).Draw(t, "crashed"), 0),
+				}
+				if tasks[i].LastCrashedRun > 0 {
+					tasks[i].LastCrashScore = rapid.IntRange(0, 2).Draw(t, "added")
 				}
 				if tasks[i].Phase == Placed {
 					tasks[i].Worker, tasks[i].Incarnation = names.Draw(t, "worker"), rapid.Int64().Draw(t, "boot")
@@ -144,11 +147,35 @@
 		is.True(err != nil) // index, score or count out of range
 	}
 	p.Rounds[0].Steps[0][0].CrashScore = 0
-	got, err = DecodeProgress(append(slices.Clone(earlier), 4, 7, 7)) // a section of a later version
+	got, err = DecodeProgress(append(slices.Clone(earlier), 6, 7, 7)) // a section of a later version
 	is.NoErr(err)
 	is.Equal(got, p)
 }
 
+// TestCrashedRunsFollowCrashScores guards against progress whose crash scores
+// instances of the version before the crashed runs can't read: they ignore what
+// follows the section of scores.
+func TestCrashedRunsFollowCrashScores(t *testing.T) {
+	is := is.New(t)
+	p := Progress{State: Active, NextRound: 1, Rounds: []*Round{{Steps: [][]Task{{{Phase: Placed, Run: 2, Worker: "i-1", Incarnation: 5, CrashScore: 2}}}, Unfinished: 1}}}
+	earlier := EncodeProgress(nil, &p)
+	p.Rounds[0].Steps[0][0].LastCrashedRun, p.Rounds[0].Steps[0][0].LastCrashScore = 2, 1
+	data := EncodeProgress(nil, &p)
+	is.True(len(data) > len(earlier))
+	is.Equal(data[:len(earlier)], earlier)
+	got, err := DecodeProgress(data)
+	is.NoErr(err)
+	is.Equal(got, p)
+	for n := len(earlier) + 1; n < len(data); n++ {
+		_, err := DecodeProgress(data[:n])
+		is.True(err != nil)
+	}
+	for _, tail := range [][]byte{{4, 2, 2, 0, 0, 4, 2}, {4, 2, 0, 2, 0, 4, 2}, {4, 2, 0, 0, 2, 4, 2}, {4, 2, 0, 0, 0, 1, 2}, {4, 2, 0, 0, 0, 4, 1}} {
+		_, err := DecodeProgress(append(slices.Clone(earlier), tail...))
+		is.True(err != nil) // index, run or score out of range
+	}
+}
+
 // FuzzDecodeProgress guards against a panic on arbitrary bytes, and against
 // accepted progress that can't be stored and read again.
 func FuzzDecodeProgress(f *testing.F) {
@@ -156,6 +183,8 @@
 	f.Add(EncodeProgress(nil, &p))
 	p.Rounds[0].Steps[0][1].CrashScore = 2
 	f.Add(EncodeProgress(nil, &p))
+	p.Rounds[0].Steps[0][1].LastCrashedRun = 1
+	f.Add(EncodeProgress(nil, &p))
 	f.Add([]byte{2, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		p, err := DecodeProgress(data)
--- a/internal/state/flow/progress.go
+++ b/internal/state/flow/progress.go
@@ -53,6 +53,11 @@
 	// CrashScore is the weight of what speaks for that the task crashes the workers
 	// that start it.
 	CrashScore int
+	// LastCrashedRun is the number of the newest run whose crash CrashScore
+	// includes, 0 if there is none, and LastCrashScore what that crash added. A
+	// later leader finds the crash of the same run counted, and can withdraw it.
+	LastCrashedRun int
+	LastCrashScore int
 }
 
 // Round is one pass over the job's steps.
--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -148,10 +148,16 @@
 // that answers: it was cut off, or its entry in the list was wrong.
 func (e *Engine) withdrawCrashScores(worker string, incarnation int64) {
 	for _, r := range e.scoredRuns[worker] {
-		if r.incarnation == incarnation && r.task.CrashScore > 0 && !r.job.State.Final() {
-			r.task.CrashScore = max(r.task.CrashScore-r.crashScore, 0)
-			e.unsavedJobs[r.job] = true
+		if r.incarnation != incarnation || r.job.State.Final() {
+			continue
+		}
+		t := r.task
+		t.CrashScore = max(t.CrashScore-r.crashScore, 0)
+		if t.LastCrashedRun == r.number {
+			t.LastCrashedRun, t.LastCrashScore = 0, 0
 		}
+		r.crashRecorded = false
+		e.unsavedJobs[r.job] = true
 	}
 	delete(e.scoredRuns, worker)
 }
@@ -171,6 +177,9 @@
 		return
 	}
 	t.CrashScore += score
+	if r.number >= t.LastCrashedRun {
+		t.LastCrashedRun, t.LastCrashScore = r.number, r.crashScore
+	}
 	e.unsavedJobs[r.job] = true
 	if t.CrashScore >= maxCrashScore {
 		e.addEvent("given-up", r.id, r.number, r.worker.ID, "workers crash under it", now.Sub(r.placedAt))
