state/sched: only what a crash has added to a score is withdrawn

Callers could see a task that crashes its workers started more often than it may be: when a worker answers again that had counted as crashed, its runs' scores are withdrawn, also of runs whose crash had added nothing, since they were being stopped or their task had ended. That lowered the score for other crashes.

Cause: the score to withdraw was kept before it was decided whether it is added.

TestOnlyAddedCrashScoreIsWithdrawn failed before (score 1, want 2). The tests of the score's count and withdrawal have a file of their own.

--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -97,11 +97,7 @@
 			seen = max(w.lastContact.Sub(r.startedAt), 0)
 		}
 		e.addEvent("worker-crashed", r.id, r.number, w.ID, detail+", "+crashAgeNames[age], seen)
-		score := crashScore(age, certain)
-		if score > 0 {
-			e.keepCrashScore(r, score)
-		}
-		e.addCrashScore(now, r, age, score)
+		e.addCrashScore(now, r, age, crashScore(age, certain))
 	}
 }
 
@@ -131,8 +127,8 @@
 	}
 }
 
-// keepCrashScore keeps a score until the worker answers. It forgets those of ended
-// jobs.
+// keepCrashScore keeps what the crash of a run has added to the score of its task
+// until the worker answers. It forgets the runs of ended jobs.
 func (e *Engine) keepCrashScore(r *run, score int) {
 	for id, runs := range e.scoredRuns {
 		runs = slices.DeleteFunc(runs, func(r *run) bool { return r.job.State.Final() })
@@ -177,6 +173,7 @@
 		return
 	}
 	t.CrashScore += score
+	e.keepCrashScore(r, max(score, 0))
 	if r.number >= t.LastCrashedRun {
 		t.LastCrashedRun, t.LastCrashScore = r.number, r.crashScore
 	}
--- /dev/null
+++ b/internal/state/sched/crash_score_test.go
@@ -0,0 +1,128 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
+
+// TestCrashIsCountedOnceByLeadersInSuccession guards against jobs that are given
+// up because each of several leaders counts the same crash of a worker: another
+// worker answers at its address while its entry is still listed.
+func TestCrashIsCountedOnceByLeadersInSuccession(t *testing.T) {
+	for name, st := range map[string]flow.Step{"tasks": taskStep(20, 2000, 6000), "gang": gangStep(8, 9000, 6000), "long-running": longRunningStep()} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSim(t, 1, 8)
+			s.gangsDisturbed = true
+			s.run(16 * time.Second)
+			s.submit(newJobSpec("a", "q1", st))
+			s.run(time.Second)
+			crashed := s.runWorkers[runKey{TaskID{Job: "a"}, 1}]
+			is.True(crashed != nil)
+			crashed.listedUntil = s.now.Add(6 * time.Second)
+			crashed.crashAndReplace(500 * time.Millisecond)
+			for range 6 {
+				s.engine = nil
+				s.run(400 * time.Millisecond)
+				s.startLeader()
+				s.run(400 * time.Millisecond)
+			}
+			is.True(s.crashScore("a") > 0) // the crash was counted at all
+			s.run(40 * time.Second)
+			if len(s.violations) > 0 {
+				t.Errorf("invariant violated: %s", s.violations[0])
+			}
+			want := flow.Complete
+			if st.LongRunning {
+				want = flow.Active
+			}
+			is.Equal(s.progress("a").State, want)
+		})
+	}
+}
+
+// TestLaterLeaderWithdrawsCrashScore guards against a score that a task keeps, for
+// a crash that never happened, because the leader has changed before the worker
+// answers again.
+func TestLaterLeaderWithdrawsCrashScore(t *testing.T) {
+	is := is.New(t)
+	spec := &flow.Spec{ID: "a", Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}
+	progress := flow.Progress{State: flow.Active, NextRound: 1, Rounds: []*flow.Round{{Steps: [][]flow.Task{{{Phase: flow.Placed, Run: 1, Worker: "w", Incarnation: 1}}}, Unfinished: 1}}}
+	now := time.Unix(1_800_000_000, 0)
+	// lead begins a term and returns the engine and its poll of the worker.
+	lead := func() (*Engine, Order) {
+		now = now.Add(time.Second)
+		e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
+		e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
+		e.AddJob(now, &flow.Job{Spec: spec, Progress: progress})
+		e.SetWorkers(now, []WorkerInfo{{ID: "w", Addr: "w", Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
+		e.Tick(now)
+		polls := e.TakeOutput().Orders
+		is.Equal(len(polls), 1)
+		return e, polls[0]
+	}
+	score := func(e *Engine) int {
+		b := e.Batch()
+		e.HandleCommit(now, b)
+		for _, c := range b.Changes {
+			p, err := flow.DecodeProgress(c.Data)
+			is.NoErr(err)
+			progress = p
+		}
+		return progress.Rounds[0].Steps[0][0].CrashScore
+	}
+	e, poll := lead()
+	e.HandlePollFailure(now, poll, AnswerOtherIncarnation, 0) // the entry's address is wrong
+	is.Equal(score(e), 1)
+
+	e, poll = lead()
+	e.HandlePollReport(now, poll, Report{Incarnation: 1, Running: []Running{{Task: TaskID{Job: "a"}, Run: 1}}})
+	is.Equal(score(e), 0)
+
+	e, poll = lead()
+	e.HandlePollFailure(now, poll, AnswerOtherIncarnation, 0)
+	is.Equal(score(e), 1) // a crash after that counts
+}
+
+// TestOnlyAddedCrashScoreIsWithdrawn guards against a withdrawal of a score that
+// the crash had not added, which lowers the score for other crashes.
+func TestOnlyAddedCrashScoreIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	spec := &flow.Spec{ID: "a", Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}
+	now := time.Unix(1_800_000_000, 0)
+	e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
+	e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
+	e.AddJob(now, &flow.Job{Spec: spec, Progress: flow.Progress{State: flow.Active, NextRound: 1, Rounds: []*flow.Round{{Unfinished: 1, Steps: [][]flow.Task{{
+		{Phase: flow.Placed, Run: 2, Worker: "w", Incarnation: 1, CrashScore: 2, LastCrashedRun: 1, LastCrashScore: 2},
+	}}}}}})
+	e.SetWorkers(now, []WorkerInfo{{ID: "w", Addr: "w", Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
+	poll := func() Order {
+		now = now.Add(5 * time.Second)
+		e.Tick(now)
+		for _, o := range e.TakeOutput().Orders {
+			if o.Kind == OrderPoll {
+				return o
+			}
+		}
+		t.Fatal("no poll")
+		return Order{}
+	}
+	running := Report{Incarnation: 1, Running: []Running{{Task: TaskID{Job: "a"}, Run: 2}}}
+	e.HandlePollReport(now, poll(), running)
+	e.HandlePollReport(now, poll(), running)
+	r := e.workers["w"].runs[TaskID{Job: "a"}]
+	e.stopRun(now, r, "a member of the gang is gone")
+	for _, o := range e.TakeOutput().Orders {
+		e.HandleStopAnswer(now, o, AnswerNone, 0)
+	}
+	e.HandlePollFailure(now, poll(), AnswerOtherIncarnation, 0)
+	is.True(r.crashRecorded)
+	is.Equal(r.task.CrashScore, 2) // the run was old and being stopped
+	e.HandlePollReport(now, poll(), running)
+	is.Equal(r.task.CrashScore, 2)
+}
