state/sched: runs missing from a full page of ends do not count as lost

Cause: a worker reports 500 unacknowledged ends at a time. A run that such a report lists neither as running nor as ended counted as lost, as never started (after a change of the leader) or as stopped before it started, though its end may be among those that follow. Now only a report with fewer ends says anything about the runs that it does not list.

Ruled out: leases that lapsed (no worker lists such an end). A change of the leader is not needed, but leads to the same loop.

--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -56,6 +56,10 @@
 // have more that did not fit.
 const endsPageSize = 500
 
+// complete reports whether the report lists all runs that the worker has. If not,
+// the ends that it lacks follow once those that it lists are acknowledged.
+func (r *Report) complete() bool { return len(r.Ended) < endsPageSize }
+
 // HandlePollFailure handles poll o that got no report. a is the reason and took
 // the duration of the call.
 func (e *Engine) HandlePollFailure(now time.Time, o Order, a Answer, took time.Duration) {
@@ -111,9 +115,11 @@
 	listed := e.applyRunning(now, w, report.Running)
 	e.throttleFillingTasks(now, w, report.Running)
 	e.applyEnds(now, w, report.Ended)
-	for _, r := range w.sortedRuns() {
-		if !listed[r.id] {
-			e.handleUnlistedRun(now, r, o.Serial)
+	if report.complete() {
+		for _, r := range w.sortedRuns() {
+			if !listed[r.id] {
+				e.handleUnlistedRun(now, r, o.Serial)
+			}
 		}
 	}
 	w.nextPoll = now
@@ -122,7 +128,7 @@
 		// poll is due then, and after ackDelay at the latest.
 		w.nextPoll = now.Add(ackDelay)
 	}
-	if len(report.Ended) >= endsPageSize {
+	if !report.complete() {
 		w.nextPoll = now
 	}
 }
@@ -190,8 +196,8 @@
 	}
 }
 
-// handleUnlistedRun handles a run that a report lists neither as running nor as
-// ended. serial is that of the poll: only a poll sent after the run was
+// handleUnlistedRun handles a run that a complete report lists neither as running
+// nor as ended. serial is that of the poll: only a poll sent after the run was
 // confirmed or its stop acknowledged shows that the run has ended.
 func (e *Engine) handleUnlistedRun(now time.Time, r *run, serial uint64) {
 	switch {
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -300,6 +300,10 @@
 	return AnswerOK
 }
 
+// simEndsPerReport is the number of ends that a worker reports at a time, the
+// oldest first.
+const simEndsPerReport = 500
+
 // poll answers a poll at once if there are ends, and otherwise at the next end
 // or after the order's wait.
 func (w *simWorker) poll(term int64, o Order, answer func(Report, Answer)) {
@@ -321,7 +325,7 @@
 	}
 	w.ends = remaining
 	report := func() {
-		result := Report{Incarnation: w.incarnation, Clock: w.clock(), Ended: append([]End(nil), w.ends...)}
+		result := Report{Incarnation: w.incarnation, Clock: w.clock(), Ended: append([]End(nil), w.ends[:min(len(w.ends), simEndsPerReport)]...)}
 		for _, r := range w.sortedRuns() {
 			result.Running = append(result.Running, Running{Task: r.id, Run: r.number})
 		}
