state/sched: a page of ends that waits to be stored is not polled for in a loop

Cause: the poll that follows a full page was due at once, though the next page comes only after this one is acknowledged. It is due then anyway, as for any report with new ends, and after ackDelay at the latest.

TestFullPageOfEndsIsNotPolledForInALoop failed before.

--- a/internal/state/sched/ends_page_test.go
+++ b/internal/state/sched/ends_page_test.go
@@ -62,3 +62,25 @@
 		})
 	}
 }
+
+// TestFullPageOfEndsIsNotPolledForInALoop guards against a leader that asks a
+// worker for the same page of ends again and again while the store is down.
+func TestFullPageOfEndsIsNotPolledForInALoop(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1, 1)
+	s.run(time.Second)
+	st := taskStep(600, 50, 1800)
+	st.Size.Memory = 100
+	s.submit(newJobSpec("a", "q2", st))
+	s.run(300 * time.Millisecond)
+	s.storeDown = true
+	s.run(4500 * time.Millisecond)
+	is.Equal(len(s.done), 600)
+	before := s.engine.pollsSent
+	s.run(6 * time.Second)
+	polls := s.engine.pollsSent - before
+	is.True(polls <= uint64(6*time.Second/ackDelay)) // polls of one worker
+	s.storeDown = false
+	s.run(time.Second)
+	is.Equal(s.progress("a").State, flow.Complete)
+}
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -128,9 +128,6 @@
 		// poll is due then, and after ackDelay at the latest.
 		w.nextPoll = now.Add(ackDelay)
 	}
-	if !report.complete() {
-		w.nextPoll = now
-	}
 }
 
 // applyRunning updates the runs that the worker lists as running and returns
