--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -56,8 +56,8 @@
 // have more that did not fit.
 const endsPageSize = 500
 
-// complete reports whether the report lists all runs that the worker has. If not,
-// the ends that it lacks follow once those that it lists are acknowledged.
+// complete reports whether the report lists all ends that are not acknowledged. If
+// not, the others follow once those that it lists are.
 func (r *Report) complete() bool { return len(r.Ended) < endsPageSize }
 
 // HandlePollFailure handles poll o that got no report. a is the reason and took
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -78,7 +78,7 @@
 	w := e.ensureWorker(t.Worker)
 	r := e.newRun(e.startedAt, j, id, t, w)
 	r.adopted, r.startSent, r.incarnation, r.speedPercent = true, true, t.Incarnation, unknownSpeedPercent
-	if t.LastCrashedRun == t.Run {
+	if t.LastCrashedRun == t.Run { // counted by an earlier leader
 		r.crashRecorded = true
 		e.keepCrashScore(r, t.LastCrashScore)
 	}
