state/sched: runs end where their worker had answered, under any leader

Cause: a run ends at once if another worker answers where its own worker has answered. Only the leader that had heard from the worker knew that address. Each further leader waited, from the start of its own term, for the leases that earlier ones may have granted, and none lasted long enough. Now the address is stored with the run, and a later leader polls it even if the entry has left the list. An address at which the worker never answered ends no run, as before.

Ruled out: a crash counted twice (one worker-crashed line for the run); a refused start. Weighed: a shorter wait by times of other instances, whose clocks may jump.

The test of the count of a crash gets one more case without an address, as the runs of the first one end at once now.

--- a/internal/state/flow/codec.go
+++ b/internal/state/flow/codec.go
@@ -15,6 +15,7 @@
 const (
 	sectionCrashes     = 1 // of tasks with a crash score: the score
 	sectionCrashedRuns = 2 // of tasks with a counted crash: the newest such run, and what its crash added
+	sectionAddresses   = 3 // of placed tasks: the address of the worker
 )
 
 // Bounds of the numbers that a record may hold.
@@ -47,17 +48,15 @@
 			}
 		}
 	}
-	e.appendSection(p, sectionCrashes, func(t *Task) []int {
-		if t.CrashScore == 0 {
-			return nil
-		}
-		return []int{t.CrashScore}
+	e.appendSection(p, sectionCrashes, func(t *Task) bool { return t.CrashScore > 0 }, func(t *Task) {
+		e.appendVarint(int64(t.CrashScore))
 	})
-	e.appendSection(p, sectionCrashedRuns, func(t *Task) []int {
-		if t.LastCrashedRun == 0 {
-			return nil
-		}
-		return []int{t.LastCrashedRun, t.LastCrashScore}
+	e.appendSection(p, sectionCrashedRuns, func(t *Task) bool { return t.LastCrashedRun > 0 }, func(t *Task) {
+		e.appendVarint(int64(t.LastCrashedRun))
+		e.appendVarint(int64(t.LastCrashScore))
+	})
+	e.appendSection(p, sectionAddresses, func(t *Task) bool { return t.Phase == Placed && t.WorkerAddr != "" }, func(t *Task) {
+		e.appendString(t.WorkerAddr)
 	})
 	return e.b
 }
@@ -79,27 +78,39 @@
 	e.b = append(e.b, s...)
 }
 
-// appendSection appends a section with the tasks for which fields returns any. It
-// appends nothing if there is no such task.
-func (e *encoder) appendSection(p *Progress, section int64, fields func(t *Task) []int) {
-	var entries [][]int
-	for i, r := range p.Rounds {
-		for step, tasks := range r.Steps {
-			for k := range tasks {
-				if values := fields(&tasks[k]); len(values) > 0 {
-					entries = append(entries, append([]int{i, step, k}, values...))
-				}
-			}
+// appendSection appends a section with the tasks that have it. It appends nothing
+// if there is no such task.
+func (e *encoder) appendSection(p *Progress, section int64, has func(t *Task) bool, appendFields func(t *Task)) {
+	count := int64(0)
+	p.eachTask(func(_, _, _ int, t *Task) {
+		if has(t) {
+			count++
 		}
-	}
-	if len(entries) == 0 {
+	})
+	if count == 0 {
 		return
 	}
 	e.appendVarint(section)
-	e.appendVarint(int64(len(entries)))
-	for _, entry := range entries {
-		for _, n := range entry {
-			e.appendVarint(int64(n))
+	e.appendVarint(count)
+	p.eachTask(func(round, step, i int, t *Task) {
+		if !has(t) {
+			return
+		}
+		for _, index := range []int{round, step, i} {
+			e.appendVarint(int64(index))
+		}
+		appendFields(t)
+	})
+}
+
+// eachTask calls f for each task with the indexes of its round, of its step and
+// within the step.
+func (p *Progress) eachTask(f func(round, step, i int, t *Task)) {
+	for round, r := range p.Rounds {
+		for step, tasks := range r.Steps {
+			for i := range tasks {
+				f(round, step, i, &tasks[i])
+			}
 		}
 	}
 }
@@ -137,6 +148,12 @@
 				t.LastCrashedRun = int(d.readBounded(maxRun))
 				t.LastCrashScore = int(d.readBounded(maxCrashScore))
 			})
+		case sectionAddresses:
+			d.readSection(&p, func(t *Task) {
+				if addr := d.readString(); t.Phase == Placed {
+					t.WorkerAddr = addr
+				}
+			})
 		default:
 			// It is from a later version, and its length is not known.
 			return p, d.err
--- a/internal/state/flow/flow_test.go
+++ b/internal/state/flow/flow_test.go
@@ -80,6 +80,7 @@
 				}
 				if tasks[i].Phase == Placed {
 					tasks[i].Worker, tasks[i].Incarnation = names.Draw(t, "worker"), rapid.Int64().Draw(t, "boot")
+					tasks[i].WorkerAddr = rapid.SampledFrom([]string{"", "10.1.0.13:8166", "i-1"}).Draw(t, "address")
 				}
 				if tasks[i].Phase != Done {
 					r.Unfinished++
@@ -147,15 +148,15 @@
 		is.True(err != nil) // index, score or count out of range
 	}
 	p.Rounds[0].Steps[0][0].CrashScore = 0
-	got, err = DecodeProgress(append(slices.Clone(earlier), 6, 7, 7)) // a section of a later version
+	got, err = DecodeProgress(append(slices.Clone(earlier), 8, 7, 7)) // a section of a later version
 	is.NoErr(err)
 	is.Equal(got, p)
 }
 
-// TestCrashedRunsFollowCrashScores guards against progress whose crash scores
+// TestNewSectionsFollowCrashScores guards against progress whose crash scores
 // instances of the version before the crashed runs can't read: they ignore what
 // follows the section of scores.
-func TestCrashedRunsFollowCrashScores(t *testing.T) {
+func TestNewSectionsFollowCrashScores(t *testing.T) {
 	is := is.New(t)
 	p := Progress{State: Active, NextRound: 1, Rounds: []*Round{{Steps: [][]Task{{{Phase: Placed, Run: 2, Worker: "i-1", Incarnation: 5, CrashScore: 2}}}, Unfinished: 1}}}
 	earlier := EncodeProgress(nil, &p)
@@ -174,6 +175,19 @@
 		_, err := DecodeProgress(append(slices.Clone(earlier), tail...))
 		is.True(err != nil) // index, run or score out of range
 	}
+	p.Rounds[0].Steps[0][0].WorkerAddr = "10.1.0.13:8166"
+	withAddress := EncodeProgress(nil, &p)
+	is.True(len(withAddress) > len(data))
+	is.Equal(withAddress[:len(data)], data)
+	got, err = DecodeProgress(withAddress)
+	is.NoErr(err)
+	is.Equal(got, p)
+	for n := len(data) + 1; n < len(withAddress); n++ {
+		_, err := DecodeProgress(withAddress[:n])
+		is.True(err != nil)
+	}
+	_, err = DecodeProgress(append(slices.Clone(data), 6, 2, 0, 0, 2, 1))
+	is.True(err != nil) // index out of range
 }
 
 // FuzzDecodeProgress guards against a panic on arbitrary bytes, and against
@@ -185,6 +199,8 @@
 	f.Add(EncodeProgress(nil, &p))
 	p.Rounds[0].Steps[0][1].LastCrashedRun = 1
 	f.Add(EncodeProgress(nil, &p))
+	p.Rounds[0].Steps[0][2] = Task{Phase: Placed, Run: 1, Worker: "i-1", WorkerAddr: "10.1.0.13:8166"}
+	f.Add(EncodeProgress(nil, &p))
 	f.Add([]byte{2, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		p, err := DecodeProgress(data)
--- a/internal/state/flow/progress.go
+++ b/internal/state/flow/progress.go
@@ -46,7 +46,10 @@
 	FailedRuns  int    // failed runs that count; see LastFailedRun
 	Worker      string // worker of the newest run; stored only in phase Placed
 	Incarnation int64  // incarnation of Worker; stored only in phase Placed
-	Saved       string // newest checkpoint; empty if there is none
+	// WorkerAddr is the address at which Worker had answered when the newest run was
+	// placed, empty if it is not known. It is stored only in phase Placed.
+	WorkerAddr string
+	Saved      string // newest checkpoint; empty if there is none
 	// LastFailedRun is the number of the newest run counted in FailedRuns. A gang
 	// whose tasks fail together in one run thereby counts one failure.
 	LastFailedRun int
--- a/internal/state/sched/crash.go
+++ b/internal/state/sched/crash.go
@@ -102,9 +102,10 @@
 }
 
 // handleReplacement handles that another worker or incarnation answers at the
-// address of a worker. If that is where the worker itself has answered, its runs
-// have certainly ended, whatever their leases. An address at which it never
-// answered may come from another writer's entry.
+// address of a worker. If that is where the worker itself has answered, in this
+// term or when a run was placed, its runs have certainly ended, whatever their
+// leases. An address at which it never answered may come from another writer's
+// entry.
 func (e *Engine) handleReplacement(now time.Time, w *worker, addr string) {
 	if w.hasAnswered() && addr != w.answeredAddr {
 		return
@@ -116,12 +117,10 @@
 	if !w.Draining {
 		e.recordCrash(now, w, append(w.sortedRuns(), w.lapsedRuns...), 0, true)
 	}
-	if !w.hasAnswered() {
-		return
-	}
 	// Runs with an order in flight are left for the next poll.
 	for _, r := range w.sortedRuns() {
-		if r.startSent && r.ordersInFlight == 0 {
+		answered := w.hasAnswered() || r.workerAddr == addr
+		if answered && r.startSent && r.ordersInFlight == 0 {
 			e.endWithoutResult(now, r, "the worker is gone, another one answers")
 		}
 	}
--- a/internal/state/sched/crash_score_test.go
+++ b/internal/state/sched/crash_score_test.go
@@ -46,47 +46,76 @@
 	}
 }
 
+// succession is a series of leaders with one job, of which a task is placed on a
+// worker whose address is not known.
+type succession struct {
+	is       *is.I
+	now      time.Time
+	progress flow.Progress // as stored
+}
+
+func newSuccession(t *testing.T) *succession {
+	return &succession{is: is.New(t), now: time.Unix(1_800_000_000, 0), progress: flow.Progress{State: flow.Active, NextRound: 1, Rounds: []*flow.Round{
+		{Steps: [][]flow.Task{{{Phase: flow.Placed, Run: 1, Worker: "w", Incarnation: 1}}}, Unfinished: 1},
+	}}}
+}
+
+// lead begins a term and returns the engine and its poll of the worker.
+func (s *succession) lead() (*Engine, Order) {
+	s.now = s.now.Add(time.Second)
+	e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, s.now)
+	e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
+	spec := &flow.Spec{ID: "a", Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}
+	e.AddJob(s.now, &flow.Job{Spec: spec, Progress: s.progress})
+	e.SetWorkers(s.now, []WorkerInfo{{ID: "w", Addr: "w", Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
+	e.Tick(s.now)
+	polls := e.TakeOutput().Orders
+	s.is.Equal(len(polls), 1)
+	return e, polls[0]
+}
+
+// store stores what the leader has changed and returns the task's crash score.
+func (s *succession) store(e *Engine) int {
+	b := e.Batch()
+	e.HandleCommit(s.now, b)
+	for _, c := range b.Changes {
+		p, err := flow.DecodeProgress(c.Data)
+		s.is.NoErr(err)
+		s.progress = p
+	}
+	return s.progress.Rounds[0].Steps[0][0].CrashScore
+}
+
+// TestCrashIsCountedOnceWhileRunStaysPlaced guards against a job that is given up
+// for one crash while its run stays placed, since no leader knows where its worker
+// has answered.
+func TestCrashIsCountedOnceWhileRunStaysPlaced(t *testing.T) {
+	s := newSuccession(t)
+	for range 6 {
+		e, poll := s.lead()
+		e.HandlePollFailure(s.now, poll, AnswerOtherIncarnation, 0)
+		s.is.Equal(s.store(e), 1)
+	}
+	s.is.Equal(s.progress.State, flow.Active)
+	s.is.Equal(s.progress.Rounds[0].Steps[0][0].Phase, flow.Placed)
+}
+
 // TestLaterLeaderWithdrawsCrashScore guards against a score that a task keeps, for
 // a crash that never happened, because the leader has changed before the worker
 // answers again.
 func TestLaterLeaderWithdrawsCrashScore(t *testing.T) {
-	is := is.New(t)
-	spec := &flow.Spec{ID: "a", Queue: "q", Steps: []flow.Step{taskStep(1, 1000, 500)}, Policy: flow.Policy{Service: "s", MaxAttempts: 3}}
-	progress := flow.Progress{State: flow.Active, NextRound: 1, Rounds: []*flow.Round{{Steps: [][]flow.Task{{{Phase: flow.Placed, Run: 1, Worker: "w", Incarnation: 1}}}, Unfinished: 1}}}
-	now := time.Unix(1_800_000_000, 0)
-	// lead begins a term and returns the engine and its poll of the worker.
-	lead := func() (*Engine, Order) {
-		now = now.Add(time.Second)
-		e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
-		e.SetConfig(&flow.Config{Queues: []flow.Queue{{Name: "q", Policy: flow.Policy{Service: "s", MaxAttempts: 3}}}})
-		e.AddJob(now, &flow.Job{Spec: spec, Progress: progress})
-		e.SetWorkers(now, []WorkerInfo{{ID: "w", Addr: "w", Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
-		e.Tick(now)
-		polls := e.TakeOutput().Orders
-		is.Equal(len(polls), 1)
-		return e, polls[0]
-	}
-	score := func(e *Engine) int {
-		b := e.Batch()
-		e.HandleCommit(now, b)
-		for _, c := range b.Changes {
-			p, err := flow.DecodeProgress(c.Data)
-			is.NoErr(err)
-			progress = p
-		}
-		return progress.Rounds[0].Steps[0][0].CrashScore
-	}
-	e, poll := lead()
-	e.HandlePollFailure(now, poll, AnswerOtherIncarnation, 0) // the entry's address is wrong
-	is.Equal(score(e), 1)
+	s := newSuccession(t)
+	e, poll := s.lead()
+	e.HandlePollFailure(s.now, poll, AnswerOtherIncarnation, 0) // the entry's address is wrong
+	s.is.Equal(s.store(e), 1)
 
-	e, poll = lead()
-	e.HandlePollReport(now, poll, Report{Incarnation: 1, Running: []Running{{Task: TaskID{Job: "a"}, Run: 1}}})
-	is.Equal(score(e), 0)
+	e, poll = s.lead()
+	e.HandlePollReport(s.now, poll, Report{Incarnation: 1, Running: []Running{{Task: TaskID{Job: "a"}, Run: 1}}})
+	s.is.Equal(s.store(e), 0)
 
-	e, poll = lead()
-	e.HandlePollFailure(now, poll, AnswerOtherIncarnation, 0)
-	is.Equal(score(e), 1) // a crash after that counts
+	e, poll = s.lead()
+	e.HandlePollFailure(s.now, poll, AnswerOtherIncarnation, 0)
+	s.is.Equal(s.store(e), 1) // a crash after that counts
 }
 
 // TestOnlyAddedCrashScoreIsWithdrawn guards against a withdrawal of a score that
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -416,7 +416,8 @@
 			if !st.Gang {
 				runNumber = t.Run
 			}
-			t.Phase, t.Run, t.Worker, t.Incarnation = flow.Placed, runNumber+1, c.worker.ID, c.worker.lastIncarnation
+			t.Phase, t.Run, t.Worker = flow.Placed, runNumber+1, c.worker.ID
+			t.Incarnation, t.WorkerAddr = c.worker.lastIncarnation, c.worker.answeredAddr
 			r := e.newRun(p.now, ps.job, TaskID{ps.job.ID, ps.round.Number, ps.step, i}, t, c.worker)
 			if sp != nil {
 				e.recordTicketUse(ps.job.Queue, sp, c.worker)
--- a/internal/state/sched/replaced_test.go
+++ b/internal/state/sched/replaced_test.go
@@ -65,3 +65,41 @@
 	e.HandlePollFailure(now, poll("a:1"), AnswerOtherIncarnation, 0)
 	is.Equal(len(e.workers["w"].runs), 0)
 }
+
+// TestOnlyKnownAddressEndsAdoptedRuns guards against runs of an earlier leader that
+// are taken for ended because another worker answers at an address where theirs had
+// never answered, and against runs that wait for their leases though their worker,
+// which has left the list, is known to be gone.
+func TestOnlyKnownAddressEndsAdoptedRuns(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed string // address of the worker's entry, empty if it has none
+		polled string
+		runs   int // after another worker has answered there
+	}{
+		{"same address", "a:1", "a:1", 0},
+		{"other address", "b:1", "b:1", 1},
+		{"not listed", "", "a:1", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			e := New(Params{MaxLease: 6 * time.Second, LeaderLease: 4 * time.Second, Retention: time.Minute}, now)
+			e.SetConfig(&flow.Config{})
+			e.AddJob(now, &flow.Job{Spec: newJobSpec("a", "q", taskStep(1, 1000, 500)), Progress: flow.Progress{State: flow.Active, NextRound: 1, Rounds: []*flow.Round{
+				{Steps: [][]flow.Task{{{Phase: flow.Placed, Run: 1, Worker: "w", Incarnation: 1, WorkerAddr: "a:1"}}}, Unfinished: 1},
+			}}})
+			if tt.listed != "" {
+				e.SetWorkers(now, []WorkerInfo{{ID: "w", Addr: tt.listed, Service: "s", Capacity: work.Size{CPU: 4000, Memory: 4000}, Incarnation: 1}})
+			}
+			e.Tick(now)
+			polls := e.TakeOutput().Orders
+			is.Equal(len(polls), 1)
+			is.Equal(polls[0].Addr, tt.polled)
+			is.Equal(polls[0].LeaseExpiry, int64(0))
+			e.HandlePollFailure(now, polls[0], AnswerOtherIncarnation, 0)
+			is.Equal(len(e.workers["w"].runs), tt.runs)
+		})
+	}
+}
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -52,15 +52,16 @@
 	ticket        string
 	ticketExpires time.Time
 
-	incarnation   int64 // of the worker when the start was first sent
-	crashScore    int   // what its crash has added to that of the task
-	crashRecorded bool  // a crash of the worker under the run has been recorded
+	workerAddr    string // where the worker had answered when the run was placed, empty if it is not known
+	incarnation   int64  // of the worker when the start was first sent
+	crashScore    int    // what its crash has added to that of the task
+	crashRecorded bool   // a crash of the worker under the run has been recorded
 }
 
 func (e *Engine) newRun(now time.Time, j *job, id TaskID, t *flow.Task, w *worker) *run {
 	st := &j.Steps[id.Step]
 	size := taskSize(st)
-	r := &run{id: id, job: j, task: t, number: t.Run, worker: w, size: size, placedAt: now, speedPercent: fullSpeedPercent}
+	r := &run{id: id, job: j, task: t, number: t.Run, worker: w, size: size, workerAddr: t.WorkerAddr, placedAt: now, speedPercent: fullSpeedPercent}
 	w.runs[id] = r
 	w.used = w.used.Add(size)
 	if st.LongRunning {
@@ -73,9 +74,12 @@
 }
 
 // adoptRun adds a run that an earlier leader recorded. Its start may have been
-// sent.
+// sent. A worker without an entry in the list is polled where it answered then.
 func (e *Engine) adoptRun(j *job, id TaskID, t *flow.Task) {
 	w := e.ensureWorker(t.Worker)
+	if w.Addr == "" {
+		w.Addr = t.WorkerAddr
+	}
 	r := e.newRun(e.startedAt, j, id, t, w)
 	r.adopted, r.startSent, r.incarnation, r.speedPercent = true, true, t.Incarnation, unknownSpeedPercent
 	if t.LastCrashedRun == t.Run { // counted by an earlier leader
