--- a/internal/state/sched/crash_score_test.go
+++ b/internal/state/sched/crash_score_test.go
@@ -22,10 +22,7 @@
 			s.run(16 * time.Second)
 			s.submit(newJobSpec("a", "q1", st))
 			s.run(time.Second)
-			crashed := s.runWorkers[runKey{TaskID{Job: "a"}, 1}]
-			is.True(crashed != nil)
-			crashed.listedUntil = s.now.Add(6 * time.Second)
-			crashed.crashAndReplace(500 * time.Millisecond)
+			s.replaceWorkerOf("a")
 			for range 6 {
 				s.engine = nil
 				s.run(400 * time.Millisecond)
--- a/internal/state/sched/crash_test.go
+++ b/internal/state/sched/crash_test.go
@@ -85,6 +85,17 @@
 	})
 }
 
+// replaceWorkerOf makes the worker that runs the job's first task crash. Another one
+// comes at its address while its entry is still in the list.
+func (s *sim) replaceWorkerOf(job string) {
+	w := s.runWorkers[runKey{TaskID{Job: job}, 1}]
+	if w == nil {
+		s.t.Fatalf("no task of job %s has started", job)
+	}
+	w.listedUntil = s.now.Add(6 * time.Second)
+	w.crashAndReplace(500 * time.Millisecond)
+}
+
 // crashAndMove makes the worker crash for good; another one comes at another
 // address. The worker's entry stays in the list for a while.
 func (w *simWorker) crashAndMove(listed time.Duration) {
