review/7, review/9: room for the job twice over, and batch tasks no larger than the site's

Cause: in case 7 the second job had a task for each minion with anti_affinity 1, so that there was room for it once; it now has 4 tasks that any minion may run. In case 9 the batch tasks had 20 cores; they now have 10, two on each minion.

--- a/review/testdata/rig2/fills.go
+++ b/review/testdata/rig2/fills.go
@@ -21,6 +21,7 @@
 	fillSecondID  = "f111000000000002"
 	fillFirstWork = 20 * time.Second
 	fillWork      = 2 * time.Second
+	fillSecond    = 4 // tasks of the second job that fills; any minion may run all of them
 )
 
 // fills has a job that serves, with a task on each minion and a tail that stays
@@ -75,8 +76,8 @@
 		return result{}, err
 	}
 	time.Sleep(2 * time.Second)
-	fill := `{"count":%d,"cpu":8000,"mem_mb":2048,"estimate_ms":%d,"anti_affinity":1,"fills":true,"image":"batch"}`
-	if err := submit("/batch/", fillFirstID, fmt.Sprintf(fill, fillMinions, fillFirstWork.Milliseconds())); err != nil {
+	fill := `{"count":%d,"cpu":8000,"mem_mb":2048,"estimate_ms":%d,"fills":true,"image":"batch"%s}`
+	if err := submit("/batch/", fillFirstID, fmt.Sprintf(fill, fillMinions, fillFirstWork.Milliseconds(), `,"anti_affinity":1`)); err != nil {
 		return result{}, err
 	}
 	time.Sleep(3 * time.Second)
@@ -88,7 +89,7 @@
 	tail.Store(usualTailMs)
 	rec.note("the tail of the serving tasks is %d ms", usualTailMs)
 	time.Sleep(5 * time.Second)
-	if err := submit("/batch/", fillSecondID, fmt.Sprintf(fill, fillMinions, fillWork.Milliseconds())); err != nil {
+	if err := submit("/batch/", fillSecondID, fmt.Sprintf(fill, fillSecond, fillWork.Milliseconds(), "")); err != nil {
 		return result{}, err
 	}
 	rec.note("end of the traffic")
--- a/review/testdata/rig2/gangs.go
+++ b/review/testdata/rig2/gangs.go
@@ -14,7 +14,8 @@
 	serviceTasks  = 4
 	serviceCPU    = 1000
 	fillerID      = "ba7c000000000001"
-	fillerCPU     = 20000 // one task on each minion
+	fillerCPU     = 10000
+	fillerEach    = 2 // tasks on each minion
 	fillerWork    = time.Minute
 	gangID        = "9a96000000000001"
 	gangCPU       = 15000 // one task on each minion
@@ -65,7 +66,7 @@
 		return result{}, err
 	}
 	time.Sleep(2 * time.Second)
-	if err := submit("/batch/", fillerID, fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":20000,"estimate_ms":60000,"anti_affinity":1}`, gangMinions, fillerCPU)); err != nil {
+	if err := submit("/batch/", fillerID, fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":20000,"estimate_ms":60000,"anti_affinity":%d}`, fillerEach*gangMinions, fillerCPU, fillerEach)); err != nil {
 		return result{}, err
 	}
 	time.Sleep(2 * time.Second)
