flow: customers in the configuration, in jobs and in their status

Cause: the configuration of a new deployment lists customers with API keys, weights and quotas, and nothing in the product holds them. Conclusion: the parts can be built side by side against these types.

--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -110,7 +110,7 @@
 	j := &flow.Job{Spec: spec, Canceled: c.earlyCancels[id]}
 	delete(c.earlyCancels, id)
 	c.jobs[id] = j
-	st := flow.Status{Queue: spec.Queue, ConfigVersion: spec.ConfigVersion}
+	st := flow.Status{Queue: spec.Queue, ConfigVersion: spec.ConfigVersion, Customer: spec.Customer}
 	if j.Canceled {
 		st.State = flow.Canceled
 	}
--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -64,7 +64,7 @@
 	}
 	err = c.store(ctx, ledger.Record{Key: keySpec + s.ID, Value: data})
 	if err == nil && c.answering.Load() {
-		c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion})
+		c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion, Customer: s.Customer})
 	}
 	c.settings.Logger.Info().Str("job", s.ID).Str("queue", s.Queue).Int64("config", s.ConfigVersion).AnErr("refusal", err).Msg("intake: submit")
 	return err
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -48,7 +48,7 @@
 	return c.forwardToPeers(ctx, "submit", s.ID, err, func(ctx context.Context, addr string) error {
 		err := c.settings.Peers.Submit(ctx, addr, s)
 		if err == nil {
-			c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion})
+			c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion, Customer: s.Customer})
 		}
 		return err
 	})
--- a/internal/state/flow/index.go
+++ b/internal/state/flow/index.go
@@ -12,7 +12,8 @@
 type Status struct {
 	Queue         string
 	State         State
-	ConfigVersion int64 // version of the configuration under which the job was accepted; 0 if not known
+	ConfigVersion int64  // version of the configuration under which the job was accepted; 0 if not known
+	Customer      string // that submitted the job, empty if there is none
 }
 
 // Index holds the status of jobs by job ID. It is safe for concurrent use. The
@@ -54,7 +55,7 @@
 
 // Put sets a job's status. It does nothing if the job's state is final and st is
 // not, because then st comes from an older record. If st names no configuration
-// version, that of the job stays.
+// version or no customer, that of the job stays.
 func (x *Index) Put(id string, st Status) {
 	s := x.shard(id)
 	s.mu.Lock()
@@ -66,6 +67,9 @@
 	if st.ConfigVersion == 0 {
 		st.ConfigVersion = old.ConfigVersion
 	}
+	if st.Customer == "" {
+		st.Customer = old.Customer
+	}
 	s.jobs[id] = st
 	s.mu.Unlock()
 	x.updatePending(old, had, -1)
--- a/internal/state/flow/policy.go
+++ b/internal/state/flow/policy.go
@@ -1,6 +1,10 @@
 package flow
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
 
 // Queue is an entry point at which callers submit jobs, with the policy for them.
 type Queue struct {
@@ -8,6 +12,17 @@
 	Host   string // host of the callers' requests
 	Prefix string // prefix of the path of the callers' requests
 	Policy Policy
+	Open   bool // callers need no API key, see Config.CustomersOn
+}
+
+// Customer is an organisation that submits jobs.
+type Customer struct {
+	Name   string
+	Keys   []string // API keys, any of which identifies the customer
+	Weight float64  // share when all is full, and the jobs a second that it may expect to be served
+	// MaxRunning bounds the sizes of the customer's runs over all workers. A
+	// resource of which it has 0 is not bounded.
+	MaxRunning work.Size
 }
 
 // Config is one version of the operators' configuration.
@@ -15,6 +30,10 @@
 	Version      int64
 	Queues       []Queue
 	MaxBodyBytes int64 // limit of a request body
+	// CustomersOn is set if callers of queues that are not open must send the API
+	// key of a customer.
+	CustomersOn bool
+	Customers   []Customer
 }
 
 // FindQueue returns the queue for a request: among the queues of the host, the one
@@ -39,3 +58,13 @@
 	}
 	return nil
 }
+
+// Customer returns the customer with the given name, or nil.
+func (c *Config) Customer(name string) *Customer {
+	for i := range c.Customers {
+		if c.Customers[i].Name == name {
+			return &c.Customers[i]
+		}
+	}
+	return nil
+}
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -62,6 +62,12 @@
 	// ConfigVersion is the version of the configuration that Policy is from; 0 if
 	// it is not known.
 	ConfigVersion int64 `json:"config-version,omitempty"`
+	// Customer is the name of the customer that submitted the job, empty if there
+	// is none.
+	Customer string `json:"customer,omitempty"`
+	// MaxRunning is the customer's bound when the job was accepted. It applies
+	// once the configuration no longer has the customer.
+	MaxRunning work.Size `json:"customer-max,omitzero"`
 }
 
 // Policy is the scheduling policy of a queue for its jobs. The objective for the
