internal/state/limit, internal/transport/guard: limits for untrusted clients

Cause: a server of net/http accepts any number of connections, and its handlers read whatever clients send for as long as they like (tests in internal/testing/abuse).

Ruled out: bodies read by the handlers (twirp reads without a limit, and a handler that decodes while it reads may be executing before the body has ended); bytes charged as declared (clients would reserve what they never send); refusing new connections (a crowd that holds all would keep everybody else out).

The change: limit derives the limits from the machine's memory and descriptors, counts the bytes of bodies with half of them reserved for the first 16 KiB of each, and names the connection to close. guard wraps listeners and handlers, and reads each body whole before its handler runs. Nothing uses it yet.

Measured: go test ./internal/state/limit ./internal/transport/guard passes, also with -race.

Conclusion: the parts stand; the servers follow.

--- /dev/null
+++ b/internal/transport/guard/guard_test.go
@@ -0,0 +1,149 @@
+package guard
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/limit"
+	"github.com/tamaracklink/tamaracklink/internal/state/meter"
+)
+
+// start serves a handler that answers with the body's length, or 400 if it can't
+// read it, and 413 as http.MaxBytesReader has it. It returns the address.
+func start(t *testing.T, conns int, rule Rule, before func()) (*Guard, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &Guard{Name: "test", Conns: limit.NewConns(conns), Meter: meter.New(), Logger: zerolog.Nop()}
+	srv := g.Server(g.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		before()
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, rule.MaxBytes))
+		switch err.(type) {
+		case nil:
+			fmt.Fprintf(w, "%d %v", len(data), strings.Trim(string(data), "x") == "")
+		case *http.MaxBytesError:
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		default:
+			w.WriteHeader(http.StatusBadRequest)
+		}
+	}), func(*http.Request) Rule { return rule }))
+	go func() { _ = srv.Serve(g.Listener(l)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return g, l.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(30 * time.Second)) // ends a test that hangs
+	return c
+}
+
+// TestBodiesAreLimited guards against bodies beyond the limits that are held, and
+// against answers from which a client can't tell that its call has not run.
+func TestBodiesAreLimited(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		budget   int64
+		declared int // Content-Length, -1 for a chunked body
+		sent     int
+		status   int
+		body     string
+		closes   bool // the answer says so
+	}{
+		{"empty", 1 << 20, 0, 0, 200, "0 true", false},
+		{"blocks and a byte", 1 << 20, 3*blockBytes + 1, 3*blockBytes + 1, 200, "12289 true", false},
+		{"whole blocks", 1 << 20, 4 * blockBytes, 4 * blockBytes, 200, "16384 true", false},
+		{"chunked", 1 << 20, -1, 5000, 200, "5000 true", false},
+		{"largest", 1 << 20, 65536, 65536, 200, "65536 true", false},
+		{"too large", 1 << 20, 65537, 65537, 413, "", true},
+		{"beyond the budget", 65536, 65536, 65536, 503, errBudget.Error() + "\n", true},
+		{"ends early", 1 << 20, 100, 99, 400, "", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			budget := limit.NewBudget(tt.budget)
+			_, addr := start(t, 10, Rule{Budget: budget, MaxBytes: 65536}, func() {})
+			c := dial(t, addr)
+			length, content := fmt.Sprintf("Content-Length: %d", tt.declared), strings.Repeat("x", tt.sent)
+			if tt.declared < 0 {
+				length, content = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", tt.sent, content)
+			}
+			_, err := fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\n%s\r\n\r\n%s", length, content)
+			is.NoErr(err)
+			if tt.sent < tt.declared {
+				is.NoErr(c.(*net.TCPConn).CloseWrite())
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			data, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tt.status)
+			is.Equal(string(data), tt.body)
+			is.Equal(resp.Close, tt.closes)
+			is.Equal(resp.Header.Get("Retry-After") != "", tt.status == 503)
+			if tt.closes {
+				_, err = c.Read(make([]byte, 1))
+				is.Equal(err, io.EOF)
+			}
+			for end := time.Now().Add(10 * time.Second); budget.Used() > 0; time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(end)) // the bytes are given back
+			}
+		})
+	}
+}
+
+// TestExecutedRequestsKeepTheirConnections guards against a flood of connections
+// that cuts off requests under way, and against one that keeps its descriptors.
+func TestExecutedRequestsKeepTheirConnections(t *testing.T) {
+	is := is.New(t)
+	entered, goOn := make(chan struct{}), make(chan struct{})
+	g, addr := start(t, 2, Rule{Budget: limit.NewBudget(1 << 20), MaxBytes: 100}, func() {
+		entered <- struct{}{}
+		<-goOn
+	})
+	executed := dial(t, addr)
+	_, err := io.WriteString(executed, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+	is.NoErr(err)
+	<-entered
+	var flood []net.Conn
+	for range 20 {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
+		is.NoErr(err)
+		flood = append(flood, c)
+	}
+	for _, c := range flood[:len(flood)-1] {
+		_, err := c.Read(make([]byte, 1))
+		is.True(err != nil) // closed
+	}
+	is.True(g.Conns.Open() <= 2)
+	close(goOn)
+	resp, err := http.ReadResponse(bufio.NewReader(executed), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+}
+
+// TestMessagesWithManyFieldsAreRefused guards against small bodies that decode to
+// a hundred times their size.
+func TestMessagesWithManyFieldsAreRefused(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(checkMessage(strings.NewReader("")))
+	is.NoErr(checkMessage(strings.NewReader("\x08\x96\x01" + "\x12\x03abc" + "\x1d1234" + "\x2112345678" + strings.Repeat("\x1a\x00", 1000))))
+	is.True(checkMessage(strings.NewReader(strings.Repeat("\x1a\x00", maxPeerFields+1))) != nil)
+	is.True(checkMessage(strings.NewReader("\x12\x05abc")) != nil) // ends early
+	is.True(checkMessage(strings.NewReader("\x0b")) != nil)        // a group
+}
