platform, flows: no more steps are decoded than can be refused

Cause: a body of 262,144 bytes has some 87,000 steps `{}`, which were decoded, copied and checked before the limit of 64 applied, and the error named each of them. 24 such bodies at once took 551 MB.

Ruled out: a type with UnmarshalJSON in flow.Spec itself, because encoding/json does not pass its option for unknown fields on to it, and jobs from the store are decoded leniently.

Conclusion: the cost of a body follows its size.

--- a/internal/state/flow/flow_test.go
+++ b/internal/state/flow/flow_test.go
@@ -40,6 +40,7 @@
 		{"too often", func(s *Spec) { s.Repeat.Times = MaxTimes + 1 }, "repeat"},
 		{"negative repeat", func(s *Spec) { s.Repeat.IntervalMs = -1 }, "repeat"},
 		{"two faults at once", func(s *Spec) { s.ID, s.Steps[1].Count = "", 0 }, "steps[1].count"},
+		{"more faults than are named", func(s *Spec) { s.Steps = make([]Step, MaxSteps+1) }, "steps[8].count: value \"0\": allowed: 1 to 2000 tasks\ncheck job (peer caller): 56 further faults"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -18,6 +18,9 @@
 	MaxTimes        = 1_000_000 // rounds of a job
 )
 
+// maxFaults is the number of faults that the error of Check names.
+const maxFaults = 10
+
 // Step is a set of identical tasks. Tasks of a filling step run on spare CPU:
 // their CPU is not reserved on the worker, and they are throttled while a
 // long-running task on the same worker is near its response time objective
@@ -93,11 +96,15 @@
 // Required reports whether starts of the queue's tasks need a ticket.
 func (p PlacementService) Required() bool { return p.TicketValidMs > 0 }
 
-// Check returns an error that lists every invalid field of a submitted job, or
-// nil.
+// Check returns an error that lists the first maxFaults invalid fields of a
+// submitted job and the number of the others, or nil.
 func (s *Spec) Check() error {
-	l := &errs.List{}
+	l, others := &errs.List{}, 0
 	invalid := func(path string, value any, allowed string) {
+		if len(l.Errors) == maxFaults {
+			others++
+			return
+		}
 		l.Add(errs.Error{Step: "check job", Peer: "caller", Path: path, Value: fmt.Sprint(value), Allowed: allowed})
 	}
 	if !ValidID(s.ID) {
@@ -118,6 +125,9 @@
 	if n := s.taskCount(); n > MaxOpenTasks {
 		invalid("steps", n, fmt.Sprintf("at most %d tasks together", MaxOpenTasks))
 	}
+	if others > 0 {
+		l.Add(errs.Error{Step: "check job", Peer: "caller", Path: fmt.Sprintf("%d further faults", others)})
+	}
 	return l.Err()
 }
 
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -16,14 +16,38 @@
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 	"github.com/tamaracklink/tamaracklink/internal/state/strict"
+	"github.com/tamaracklink/tamaracklink/internal/transport/guard"
 )
 
-const maxBodyBytes = 1 << 20 // bytes of a submitted job
+// MaxBodyBytes is the largest body of a request.
+const MaxBodyBytes = 1 << 20
 
-// Server serves the API to callers and operators. Both fields must be set.
+// Server serves the API to callers and operators. All fields but Decoders must be
+// set.
 type Server struct {
 	Core *core.Core
 	Now  func() time.Time
+	// Decoders limits how many bodies are decoded at a time; nil means no limit.
+	Decoders guard.Slots
+}
+
+// specDoc is a submitted job. Its Steps take the place of those of flow.Spec.
+type specDoc struct {
+	flow.Spec
+	Steps stepDocs `json:"steps"`
+}
+
+// stepDocs are the steps of a submitted job, decoded no further than one beyond
+// the limit, which flow.Spec.Check then reports.
+type stepDocs []flow.Step
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *stepDocs) UnmarshalJSON(data []byte) error {
+	*s = nil
+	return strict.Elements(data, flow.MaxSteps+1, true, func(d *json.Decoder) error {
+		*s = append(*s, flow.Step{})
+		return d.Decode(&(*s)[len(*s)-1])
+	})
 }
 
 // JobView is the JSON form of a job.
@@ -79,14 +103,14 @@
 }
 
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		writeJSON(w, http.StatusRequestEntityTooLarge, badRequest(err))
+	if err := s.Decoders.Take(r.Context()); err != nil {
+		s.writeError(w, core.ErrNotExecuted)
 		return
 	}
-	spec := &flow.Spec{}
-	if err := strict.Decode(body, spec); err != nil {
-		writeJSON(w, http.StatusBadRequest, badRequest(errs.At("read job", "caller", err)))
+	spec, status, err := readJob(w, r)
+	s.Decoders.Release()
+	if err != nil {
+		writeJSON(w, status, badRequest(err))
 		return
 	}
 	cfg := s.Core.Config()
@@ -113,6 +137,21 @@
 	writeJSON(w, http.StatusOK, JobView{ID: spec.ID, Queue: spec.Queue, State: flow.Queued.String(), ConfigVersion: cfg.Version})
 }
 
+// readJob reads and decodes a job. With an error it returns the status of the
+// answer.
+func readJob(w http.ResponseWriter, r *http.Request) (*flow.Spec, int, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	if err != nil {
+		return nil, http.StatusRequestEntityTooLarge, err
+	}
+	doc := &specDoc{}
+	if err := strict.Decode(body, doc); err != nil {
+		return nil, http.StatusBadRequest, errs.At("read job", "caller", err)
+	}
+	doc.Spec.Steps = doc.Steps
+	return &doc.Spec, 0, nil
+}
+
 func (s *Server) showJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	status, err := s.Core.StatusOrForward(r.Context(), p.ByName("id"))
 	if err != nil {
