internal/coordination/core: a call to a relay passes 1 MiB of orders

Cause: the orders that wait for a relay went in one call, however many there were, so no limit of bodies between instances was safe.

The change: orders beyond 1 MiB wait for the next call, which follows when the first has been answered. A single larger order goes by itself. A call has 300 ms, in which a link of 200 Mbit/s carries 7 MB and one of 10 Mbit/s 0.4 MB, so larger calls were none that a slow link could have carried either.

Conclusion: instances may refuse bodies above 2 MiB.

--- a/internal/coordination/core/relay.go
+++ b/internal/coordination/core/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,6 +42,10 @@
 	// fewer of them.
 	minGatherTime = 8 * time.Millisecond
 	maxGatherTime = 24 * time.Millisecond
+	// maxRelayBytes bounds the orders of one call, so that the receiver can refuse
+	// much larger bodies. orderBytes is the part of each beside its longest texts.
+	maxRelayBytes = 1 << 20
+	orderBytes    = 500
 	// sweepInterval is the time between two checks for orders past their
 	// deadline, and between two updates of the available relays.
 	sweepInterval = 50 * time.Millisecond
@@ -151,15 +156,15 @@
 }
 
 // sendToRelay sends a relay its waiting orders, except those that count as
-// unanswered meanwhile.
+// unanswered meanwhile, and up to maxRelayBytes. The others wait for the next call.
 func (c *Core) sendToRelay(now time.Time, name string, relay *relayInstance) {
-	batch := relay.waiting[:0]
-	for _, o := range relay.waiting {
-		if _, ok := c.relay.pending[o.ID]; ok {
-			batch = append(batch, o)
-		}
-	}
-	relay.waiting = nil
+	waiting := slices.DeleteFunc(relay.waiting, func(o NumberedOrder) bool {
+		_, ok := c.relay.pending[o.ID]
+		return !ok
+	})
+	n := fittingOrders(waiting)
+	batch := waiting[:n:n]
+	relay.waiting = slices.Clone(waiting[n:])
 	if len(batch) == 0 {
 		return
 	}
@@ -187,6 +192,19 @@
 	})
 }
 
+// fittingOrders returns how many of the orders, from the first on, one call may
+// pass: as many as have maxRelayBytes together, but at least one.
+func fittingOrders(orders []NumberedOrder) int {
+	size := 0
+	for i, o := range orders {
+		size += orderBytes + len(o.Payload) + len(o.Checkpoint) + len(o.Ticket)
+		if i > 0 && size > maxRelayBytes {
+			return i
+		}
+	}
+	return len(orders)
+}
+
 // queueOrder numbers an order for a relay and records it as pending. It is sent
 // by sendToRelays.
 func (c *Core) queueOrder(now time.Time, name string, o sched.Order) {
