platform/callers: API keys of customers, decided under a lease on the configuration

Ruled out: asking the store at each call (a call each, and no service without the store); pushing removals (a frozen instance gets none); computing the age of a read at its handling, as applyBatch did with Uptime() - now.Sub(SentAt): the monotonic clock stops during a suspend, and a freeze between the two clocks makes the read look newer than it is.

Change: internal/state/keys decides from configuration, queue, key, proof and uptime. ledger.Batch.SentUptime is taken before the read is sent; core keeps the configuration and its proof as one value, and uses SentUptime for the age of the ledger too. platform/callers checks X-Key before and after the body; 401, 409, 410 and 503. The customer travels with cancel and status between instances. A new job is read back before it is answered where customers are on, so that the later of two customers with one ID gets 409. A gang larger than the customer's quota is rejected with 400.

Conclusion: without tenants in the configuration nothing changes on the wire or in the store. Limits are in docs/design/keys.md.

--- a/internal/command/oper/flow.go
+++ b/internal/command/oper/flow.go
@@ -53,6 +53,13 @@
 			return err
 		}
 		fmt.Fprintf(stdio.Out, "configuration %d with %d queues; ready %t, leads %t\n", v.ConfigVersion, len(v.Queues), v.Ready, v.Leading)
+		if v.Customers != nil {
+			proof := "not proven to be the newest"
+			if v.ProofAgeMs != nil {
+				proof = fmt.Sprintf("proven to be the newest %d ms ago", *v.ProofAgeMs)
+			}
+			fmt.Fprintf(stdio.Out, "%d customers; configuration %s\n", *v.Customers, proof)
+		}
 		return nil
 	}
 	return usageError(errors.New(flowUsage))
@@ -85,6 +92,10 @@
 	if err != nil || printed {
 		return err
 	}
-	fmt.Fprintf(c.io.Out, "job %s of %s is %s, accepted under configuration %d\n", v.ID, v.Queue, v.State, v.ConfigVersion)
+	fmt.Fprintf(c.io.Out, "job %s of %s is %s, accepted under configuration %d", v.ID, v.Queue, v.State, v.ConfigVersion)
+	if v.Customer != "" {
+		fmt.Fprintf(c.io.Out, " from customer %s", v.Customer)
+	}
+	fmt.Fprintln(c.io.Out)
 	return nil
 }
--- a/internal/command/oper/site.go
+++ b/internal/command/oper/site.go
@@ -133,7 +133,7 @@
 	placement := &platform.PlacementClient{Addr: settings.PlacementAddr, HTTP: client}
 	peers := cell.NewClient(client)
 	s.core = core.New(core.Settings{
-		Instance: settings.Instance, Incarnation: hex.EncodeToString(incarnation), Domain: settings.Domain, Addr: settings.PeerAddr, Machine: settings.Machine, Params: settings.Params,
+		Instance: settings.Instance, Incarnation: hex.EncodeToString(incarnation), Domain: settings.Domain, Addr: settings.PeerAddr, Machine: settings.Machine, Params: settings.Params, Keys: settings.Keys,
 		Log: store.Ledger(), Directory: store.Directory(), ConfigLog: store.OperatorLog(), DecodeConfig: platform.DecodeConfig, Workers: workers.Calls(),
 		Placement: core.PlacementCalls{Local: placement.RequestTickets, ViaPeer: peers.RequestTickets},
 		Peers:     core.PeerCalls{Submit: peers.Submit, Cancel: peers.Cancel, Status: peers.Status, Pending: peers.Pending, Ready: peers.Ready},
--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -27,7 +27,7 @@
 		c.applyRecord(now, r)
 	}
 	if b.CaughtUp && b.NextOffset >= c.completeOffset {
-		c.currentAt.Store(int64(c.settings.Uptime() - now.Sub(b.SentAt)))
+		c.currentAt.Store(int64(b.SentUptime))
 		c.reloading = false
 		c.ready.Store(true)
 		c.answering.Store(true)
--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -9,6 +9,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/coordination/intake"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 )
 
 // Errors of callers' calls. ErrNotExecuted means that the call had no effect
@@ -17,6 +18,8 @@
 	ErrNotExecuted    = errors.New("the call was not carried out")
 	ErrOutcomeUnknown = errors.New("it is not known whether the call was carried out")
 	ErrJobNotFound    = errors.New("no such job")
+	// ErrOtherCustomer means that the job's ID is that of another customer's job.
+	ErrOtherCustomer = errors.New("the ID is that of another customer's job")
 )
 
 // Limits of callers' calls.
@@ -53,9 +56,14 @@
 func (c *Core) IsLeader() bool { return c.leading.Load() }
 
 // Submit stores a job. It returns nil for a job that is known already. The
-// error is ErrNotExecuted or ErrOutcomeUnknown, or that of encoding the job.
+// error is ErrNotExecuted, ErrOutcomeUnknown or ErrOtherCustomer, or that of
+// encoding the job.
 func (c *Core) Submit(ctx context.Context, s *flow.Spec) error {
-	if _, ok := c.index.Get(s.ID); ok {
+	customersOn := c.customersOn()
+	if st, ok := c.index.Get(s.ID); ok {
+		if by := (keys.Caller{Customer: s.Customer, Check: customersOn}); !by.HasAccess(st.Customer) {
+			return ErrOtherCustomer
+		}
 		return nil
 	}
 	data, err := flow.EncodeSpec(s)
@@ -64,16 +72,25 @@
 	}
 	err = c.store(ctx, ledger.Record{Key: keySpec + s.ID, Value: data})
 	if err == nil && c.answering.Load() {
-		c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion, Customer: s.Customer})
+		if customersOn {
+			err = c.checkOwner(ctx, s)
+		} else {
+			c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion, Customer: s.Customer})
+		}
 	}
-	c.settings.Logger.Info().Str("job", s.ID).Str("queue", s.Queue).Int64("config", s.ConfigVersion).AnErr("refusal", err).Msg("intake: submit")
+	event := c.settings.Logger.Info().Str("job", s.ID).Str("queue", s.Queue).Int64("config", s.ConfigVersion)
+	if s.Customer != "" {
+		event.Str("customer", s.Customer)
+	}
+	event.AnErr("refusal", err).Msg("intake: submit")
 	return err
 }
 
 // Cancel stores the cancellation of a job. It does nothing for a job in a final
-// state. The error is ErrJobNotFound, ErrNotExecuted or ErrOutcomeUnknown.
-func (c *Core) Cancel(ctx context.Context, id string) error {
-	st, err := c.Status(ctx, id)
+// state. The error is ErrJobNotFound, also for a job to which the caller has no
+// access, ErrNotExecuted or ErrOutcomeUnknown.
+func (c *Core) Cancel(ctx context.Context, id string, by keys.Caller) error {
+	st, err := c.Status(ctx, id, by)
 	if err != nil {
 		return err
 	}
@@ -123,8 +140,8 @@
 // CurrentStatus is Status for peers that ask because they are behind. If this
 // instance is behind too, the error is ErrNotExecuted unless the job's state is
 // final.
-func (c *Core) CurrentStatus(ctx context.Context, id string) (flow.Status, error) {
-	st, err := c.Status(ctx, id)
+func (c *Core) CurrentStatus(ctx context.Context, id string, by keys.Caller) (flow.Status, error) {
+	st, err := c.Status(ctx, id, by)
 	if err == nil && !st.State.Final() && c.behind(c.settings.Uptime()) {
 		return flow.Status{}, ErrNotExecuted
 	}
@@ -132,9 +149,24 @@
 }
 
 // Status returns a job's status. For a job that is not known it first reads the
-// ledger to its end. The error is ErrJobNotFound, or ErrNotExecuted if the
-// ledger can't be read in time.
-func (c *Core) Status(ctx context.Context, id string) (flow.Status, error) {
+// ledger to its end. The error is ErrJobNotFound, also for a job to which the
+// caller has no access, or ErrNotExecuted if the ledger can't be read in time.
+func (c *Core) Status(ctx context.Context, id string, by keys.Caller) (flow.Status, error) {
+	return accessible(by)(c.status(ctx, id))
+}
+
+// accessible returns a function that replaces the status of a job to which the
+// caller has no access by ErrJobNotFound.
+func accessible(by keys.Caller) func(flow.Status, error) (flow.Status, error) {
+	return func(st flow.Status, err error) (flow.Status, error) {
+		if err == nil && !by.HasAccess(st.Customer) {
+			return flow.Status{}, ErrJobNotFound
+		}
+		return st, err
+	}
+}
+
+func (c *Core) status(ctx context.Context, id string) (flow.Status, error) {
 	if st, ok := c.index.Get(id); ok {
 		return st, nil
 	}
--- a/internal/coordination/core/cancel_test.go
+++ b/internal/coordination/core/cancel_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -29,7 +30,7 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		is.NoErr(s.Core(other).CancelOrForward(ctx, "a"))
+		is.NoErr(s.Core(other).CancelOrForward(ctx, "a", keys.Caller{}))
 		const cancelBound = 3 * time.Second // by which no task of the job starts
 		time.Sleep(cancelBound)
 		n := s.Fleet.RunStarts()
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -12,6 +12,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/coordination/parts"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
 )
@@ -49,9 +50,10 @@
 	Addr        string // where peers reach this instance
 	Machine     Machine
 	Params      sched.Params
-	Log         ledger.Log // the ledger
-	Directory   ledger.Log // the log with the records of the instances
-	ConfigLog   ledger.Log // the log to which operators write configurations
+	Keys        keys.Bounds // of the use of a configuration that may not be the newest
+	Log         ledger.Log  // the ledger
+	Directory   ledger.Log  // the log with the records of the instances
+	ConfigLog   ledger.Log  // the log to which operators write configurations
 	// DecodeConfig decodes a record of ConfigLog. It returns nil for a record
 	// that holds no configuration.
 	DecodeConfig func(r ledger.Record) (*flow.Config, error)
@@ -87,10 +89,11 @@
 	configReader *ledger.Reader
 	index        *flow.Index
 	config       atomic.Pointer[flow.Config]
-	replica      atomic.Bool // the ledger is read, see package roles
-	answering    atomic.Bool // the ledger has been read to its end once
-	ready        atomic.Bool // the ledger has been read to its end since the last step-down
-	leading      atomic.Bool // engine is set, for use outside the loop
+	keys         atomic.Pointer[keys.View] // the same configuration with the proof for it
+	replica      atomic.Bool               // the ledger is read, see package roles
+	answering    atomic.Bool               // the ledger has been read to its end once
+	ready        atomic.Bool               // the ledger has been read to its end since the last step-down
+	leading      atomic.Bool               // engine is set, for use outside the loop
 	// readable is set while reads of the store succeed: those of the ledger or,
 	// at an instance that is not a replica, those of the configuration.
 	readable atomic.Bool
@@ -111,6 +114,10 @@
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
 
+	// configUnreadable is set while the newest record of the configuration can't be
+	// decoded. It is used by applyConfig only.
+	configUnreadable bool
+
 	// The fields below belong to the loop. Other goroutines use parts, ctx and
 	// stop, which do not change.
 	jobs           map[string]*flow.Job      // by ID
@@ -153,13 +160,13 @@
 			c.settings.Logger.Warn().Err(err).Int("tries", tries).Msg("intake: append without an answer")
 		},
 	})
-	c.reader = &ledger.Reader{Log: settings.Log, MaxReadWait: readWait, ReadInterval: c.readInterval, Now: settings.Now, Deliver: func(b ledger.Batch) {
+	c.reader = &ledger.Reader{Log: settings.Log, MaxReadWait: readWait, ReadInterval: c.readInterval, Now: settings.Now, Uptime: settings.Uptime, Deliver: func(b ledger.Batch) {
 		c.post(func(now time.Time) { c.applyBatch(now, b) })
 	}}
 	c.directory = &ledger.Reader{Log: settings.Directory, MaxReadWait: directoryReadWait, ReadInterval: func() time.Duration { return directoryReadInterval }, Now: settings.Now, Deliver: func(b ledger.Batch) {
 		c.post(func(now time.Time) { c.applyDirectory(now, b) })
 	}}
-	c.configReader = &ledger.Reader{Log: settings.ConfigLog, MaxReadWait: configReadWait, ReadInterval: func() time.Duration { return configReadInterval }, Now: settings.Now, Deliver: c.applyConfig}
+	c.configReader = &ledger.Reader{Log: settings.ConfigLog, MaxReadWait: configReadWait, ReadInterval: func() time.Duration { return configReadInterval }, Now: settings.Now, Uptime: settings.Uptime, Deliver: c.applyConfig}
 	return c
 }
 
@@ -287,11 +294,13 @@
 			c.lastAnswerAt.Store(c.settings.Now().UnixNano())
 		}
 	}
+	defer c.updateProof(b)
 	if b.Err != nil {
 		return
 	}
 	for _, r := range b.Records {
 		conf, err := c.settings.DecodeConfig(r)
+		c.noteConfigRecord(conf, err)
 		if err != nil {
 			c.settings.Logger.Error().Err(err).Str("key", r.Key).Msg("config: skipping a record that can't be decoded")
 			continue
@@ -300,6 +309,7 @@
 		if conf == nil || (old != nil && conf.Version <= old.Version) {
 			continue
 		}
+		c.setKeys(conf)
 		c.config.Store(conf)
 		c.settings.Logger.Info().Int64("version", conf.Version).Int("queues", len(conf.Queues)).Msg("config: in force")
 		c.post(func(time.Time) {
--- a/internal/coordination/core/core_test.go
+++ b/internal/coordination/core/core_test.go
@@ -17,6 +17,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/standin/sites"
 	"github.com/tamaracklink/tamaracklink/internal/standin/store"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -208,7 +209,7 @@
 		s.Kill(old)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		is.NoErr(s.Core(s.Follower()).CancelOrForward(ctx, "a"))
+		is.NoErr(s.Core(s.Follower()).CancelOrForward(ctx, "a", keys.Caller{}))
 		for _, name := range s.InstanceNames() {
 			s.Kill(name)
 		}
--- a/internal/coordination/core/faults_test.go
+++ b/internal/coordination/core/faults_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/core"
 	"github.com/tamaracklink/tamaracklink/internal/standin/store"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/testing/check"
 )
 
@@ -180,7 +181,7 @@
 		if c := s.Core(target); c != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 			defer cancel()
-			_ = c.CancelOrForward(ctx, fmt.Sprintf("j%d", step.pick%10)) // may fail under the fault
+			_ = c.CancelOrForward(ctx, fmt.Sprintf("j%d", step.pick%10), keys.Caller{}) // may fail under the fault
 		}
 	}
 }
--- a/internal/coordination/core/paused_test.go
+++ b/internal/coordination/core/paused_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
 )
@@ -79,11 +80,11 @@
 				peers[name] = instanceRecord{Addr: name, Domain: "d", Replica: true}
 			}
 			c.peers.Store(&peers)
-			c.settings.Peers.Cancel = func(context.Context, string, string) error {
+			c.settings.Peers.Cancel = func(context.Context, string, string, keys.Caller) error {
 				calls++
 				return tt.answers[calls-1]
 			}
-			is.Equal(c.CancelOrForward(t.Context(), "job"), tt.want)
+			is.Equal(c.CancelOrForward(t.Context(), "job", keys.Caller{}), tt.want)
 		})
 	}
 }
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -8,14 +8,15 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 )
 
 // PeerCalls holds the calls to other instances. They return the errors of this
 // package.
 type PeerCalls struct {
 	Submit func(ctx context.Context, addr string, s *flow.Spec) error
-	Cancel func(ctx context.Context, addr, id string) error
-	Status func(ctx context.Context, addr, id string) (flow.Status, error)
+	Cancel func(ctx context.Context, addr, id string, by keys.Caller) error
+	Status func(ctx context.Context, addr, id string, by keys.Caller) (flow.Status, error)
 	// Pending returns the number of pending jobs of a queue.
 	Pending func(ctx context.Context, addr, queue string) (int, error)
 	// Ready reports whether the instance can serve callers now. The error is that
@@ -47,7 +48,7 @@
 	}
 	return c.forwardToPeers(ctx, "submit", s.ID, err, func(ctx context.Context, addr string) error {
 		err := c.settings.Peers.Submit(ctx, addr, s)
-		if err == nil {
+		if err == nil && !c.customersOn() {
 			c.index.Add(s.ID, flow.Status{Queue: s.Queue, ConfigVersion: s.ConfigVersion, Customer: s.Customer})
 		}
 		return err
@@ -61,17 +62,17 @@
 
 // CancelOrForward cancels a job from this instance or through a peer, as
 // SubmitOrForward submits one. The errors are those of Cancel.
-func (c *Core) CancelOrForward(ctx context.Context, id string) error {
+func (c *Core) CancelOrForward(ctx context.Context, id string, by keys.Caller) error {
 	if !c.answering.Load() {
-		_, err := c.storeThroughReplica(ctx, "cancel", id, func(ctx context.Context, addr string) error { return c.settings.Peers.Cancel(ctx, addr, id) })
+		_, err := c.storeThroughReplica(ctx, "cancel", id, func(ctx context.Context, addr string) error { return c.settings.Peers.Cancel(ctx, addr, id, by) })
 		return err
 	}
 	err := ErrNotExecuted
 	if c.storeHealthy() {
-		err = c.Cancel(ctx, id)
+		err = c.Cancel(ctx, id, by)
 	}
 	return c.forwardToPeers(ctx, "cancel", id, err, func(ctx context.Context, addr string) error {
-		err := c.settings.Peers.Cancel(ctx, addr, id)
+		err := c.settings.Peers.Cancel(ctx, addr, id, by)
 		if err == nil {
 			c.markCanceled(id)
 		}
@@ -83,17 +84,17 @@
 // instance can't determine it, from a peer. An instance that is behind asks a
 // peer even if it has a status of the job, since that may be stale. The errors
 // are those of Status, or ErrOutcomeUnknown.
-func (c *Core) StatusOrForward(ctx context.Context, id string) (flow.Status, error) {
+func (c *Core) StatusOrForward(ctx context.Context, id string, by keys.Caller) (flow.Status, error) {
 	if !c.answering.Load() {
-		return c.statusThroughReplica(ctx, id)
+		return c.statusThroughReplica(ctx, id, by)
 	}
-	st, err := c.Status(ctx, id)
+	st, err := c.Status(ctx, id, by)
 	if err == nil && !st.State.Final() && c.behind(c.settings.Uptime()) {
-		return c.statusFromPeers(ctx, id, st), nil
+		return c.statusFromPeers(ctx, id, by, st), nil
 	}
 	err = c.forwardToPeers(ctx, "status", id, err, func(ctx context.Context, addr string) error {
 		var err error
-		st, err = c.settings.Peers.Status(ctx, addr, id)
+		st, err = accessible(by)(c.settings.Peers.Status(ctx, addr, id, by))
 		return err
 	})
 	return st, err
@@ -101,13 +102,13 @@
 
 // statusFromPeers returns a job's status as known by a peer that is ready and
 // not behind, or st if no such peer answers.
-func (c *Core) statusFromPeers(ctx context.Context, id string, st flow.Status) flow.Status {
+func (c *Core) statusFromPeers(ctx context.Context, id string, by keys.Caller, st flow.Status) flow.Status {
 	for _, p := range c.forwardTargets() {
 		if !c.peerReady(ctx, p) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		newer, err := c.settings.Peers.Status(ctx, p, id)
+		newer, err := accessible(by)(c.settings.Peers.Status(ctx, p, id, by))
 		cancel()
 		if err == nil {
 			return newer
@@ -124,6 +125,8 @@
 		return "no configuration yet"
 	case c.stalled():
 		return "the loop makes no progress"
+	case !c.keys.Load().Serves(c.settings.Uptime(), c.settings.Keys):
+		return "every queue needs a key, and nothing proves that the configuration is the newest"
 	case !c.answering.Load():
 		if c.replicas.answeredSince(c.settings.Now().Add(-maxReplicaSilence)) {
 			return ""
--- a/internal/coordination/core/replicas.go
+++ b/internal/coordination/core/replicas.go
@@ -11,6 +11,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/coordination/ledger"
 	"github.com/tamaracklink/tamaracklink/internal/state/admit"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 )
 
 // Limits of calls to replicas by an instance that is none.
@@ -208,10 +209,10 @@
 }
 
 // statusThroughReplica returns a job's status as a replica knows it.
-func (c *Core) statusThroughReplica(ctx context.Context, id string) (st flow.Status, err error) {
+func (c *Core) statusThroughReplica(ctx context.Context, id string, by keys.Caller) (st flow.Status, err error) {
 	err = c.callReplica(ctx, "status", id, admit.MaxTries, func(ctx context.Context, addr string) error {
 		var err error
-		st, err = c.settings.Peers.Status(ctx, addr, id)
+		st, err = accessible(by)(c.settings.Peers.Status(ctx, addr, id, by))
 		return err
 	})
 	return st, err
--- a/internal/coordination/ledger/reader.go
+++ b/internal/coordination/ledger/reader.go
@@ -36,7 +36,10 @@
 	CaughtUp       bool      // the read reached the end of the log and the state is complete
 	AfterSilence   bool      // the store had left an earlier read without an answer
 	SentAt         time.Time // when the read was sent
-	Err            error     // error of the read; the other fields but SentAt are then empty
+	// SentUptime is Reader.Uptime from before the read was sent. It is 0 for a load
+	// and for a read that failed.
+	SentUptime time.Duration
+	Err        error // error of the read; the other fields but SentAt are then empty
 }
 
 // Reader reads the log continuously. Its exported fields must be set before Run
@@ -52,6 +55,9 @@
 	Deliver func(Batch)
 	// Now returns the present time.
 	Now func() time.Time
+	// Uptime returns the time of a clock that also counts while the machine is
+	// suspended. If nil, batches have no SentUptime.
+	Uptime func() time.Duration
 
 	size    ReadSize // used by Run only
 	failing bool     // the last read failed; used by Run only
@@ -171,7 +177,9 @@
 	size := r.size.Bytes()
 	results := make([]readResult, o.maxAttempts())
 	o.call = func(ctx context.Context, attempt int) (err error) {
-		res := readResult{first: attempt == 0, sentAt: r.Now()}
+		// The clocks are read before the read is sent: the process may be frozen
+		// between any two instructions, and the batch must not look newer than it is.
+		res := readResult{first: attempt == 0, sentAt: r.Now(), sentUptime: r.uptime()}
 		if res.first {
 			res.page, err = r.Log.Read(ctx, from, size, wait)
 		} else {
@@ -191,6 +199,15 @@
 	err    error
 	first  bool // of the attempts of its read
 	sentAt time.Time
+	// sentUptime is the uptime from before the attempt.
+	sentUptime time.Duration
+}
+
+func (r *Reader) uptime() time.Duration {
+	if r.Uptime == nil {
+		return 0
+	}
+	return r.Uptime()
 }
 
 func (r *Reader) repeatInterval() time.Duration { return max(minRepeatInterval, r.MaxReadWait/2) }
@@ -211,7 +228,7 @@
 		return Batch{Err: res.err, SentAt: start}
 	}
 	next := res.page.FirstOffset + int64(len(res.page.Records))
-	return Batch{Records: res.page.Records, NextOffset: next, CaughtUp: next >= res.page.LogEnd, AfterSilence: silent, SentAt: res.sentAt}
+	return Batch{Records: res.page.Records, NextOffset: next, CaughtUp: next >= res.page.LogEnd, AfterSilence: silent, SentAt: res.sentAt, SentUptime: res.sentUptime}
 }
 
 // notifyCaughtUp wakes the callers of Sync after a batch that reached the end
--- a/internal/coordination/ledger/reader_test.go
+++ b/internal/coordination/ledger/reader_test.go
@@ -159,3 +159,30 @@
 		is.Equal(loaded.CompleteOffset, int64(100+pages-1))
 	})
 }
+
+// TestSentUptimeIsFromBeforeRead guards against a batch that looks newer than it
+// is, because the process was frozen while its read was under way.
+func TestSentUptimeIsFromBeforeRead(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	uptime, sentAt, reads := time.Hour, time.Duration(0), 0
+	r := &ledger.Reader{
+		Log: ledger.Log{
+			ReadNewest: func(context.Context, string) (ledger.NewestPage, error) { return ledger.NewestPage{}, nil },
+			Read: func(context.Context, int64, int, time.Duration) (ledger.Page, error) {
+				sentAt = uptime
+				uptime += 10 * time.Second // frozen
+				return ledger.Page{}, nil
+			},
+		},
+		ReadInterval: func() time.Duration { return 0 }, Now: time.Now, Uptime: func() time.Duration { return uptime },
+		Deliver: func(b ledger.Batch) {
+			if b.CaughtUp {
+				is.New(t).Equal(b.SentUptime, sentAt)
+				if reads++; reads == 5 {
+					cancel()
+				}
+			}
+		},
+	}
+	r.Run(ctx)
+}
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -14,6 +14,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/protocol/cellpb"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 )
 
 // PathPrefix is the path prefix of the calls.
@@ -25,6 +26,7 @@
 	codeNotExecuted
 	codeOutcomeUnknown
 	codeJobNotFound
+	codeOtherCustomer
 )
 
 // Server handles the calls of other instances. Core must be set.
@@ -60,13 +62,13 @@
 // Cancel cancels a job for a peer. The outcome carries the result; the error is
 // always nil.
 func (s *Server) Cancel(ctx context.Context, req *cellpb.JobRequest) (*cellpb.Outcome, error) {
-	return toOutcome(flow.Status{}, s.Core.Cancel(ctx, req.Id)), nil
+	return toOutcome(flow.Status{}, s.Core.Cancel(ctx, req.Id, callerOf(req))), nil
 }
 
 // Status returns a job's current state for a peer. If there is none, the
 // outcome's code says why. The error is always nil.
 func (s *Server) Status(ctx context.Context, req *cellpb.JobRequest) (*cellpb.Outcome, error) {
-	st, err := s.Core.CurrentStatus(ctx, req.Id)
+	st, err := s.Core.CurrentStatus(ctx, req.Id, callerOf(req))
 	return toOutcome(st, err), nil
 }
 
@@ -83,11 +85,21 @@
 	return &cellpb.ReadyReply{Ready: s.Core.Ready()}, nil
 }
 
+func jobRequest(id string, by keys.Caller) *cellpb.JobRequest {
+	return &cellpb.JobRequest{Id: id, Customer: by.Customer, Check: by.Check}
+}
+
+func callerOf(req *cellpb.JobRequest) keys.Caller {
+	return keys.Caller{Customer: req.Customer, Check: req.Check}
+}
+
 func toOutcome(st flow.Status, err error) *cellpb.Outcome {
-	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State), ConfigVersion: st.ConfigVersion}
+	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State), ConfigVersion: st.ConfigVersion, Customer: st.Customer}
 	switch {
 	case errors.Is(err, core.ErrJobNotFound):
 		o.Code = codeJobNotFound
+	case errors.Is(err, core.ErrOtherCustomer):
+		o.Code = codeOtherCustomer
 	case errors.Is(err, core.ErrNotExecuted):
 		o.Code = codeNotExecuted
 	case err != nil:
@@ -148,16 +160,16 @@
 
 // Cancel cancels a job through the instance at addr. The errors are those of
 // core.Core.Cancel, wrapped.
-func (c *Client) Cancel(ctx context.Context, addr, id string) error {
-	o, err := c.client(addr).Cancel(ctx, &cellpb.JobRequest{Id: id})
+func (c *Client) Cancel(ctx context.Context, addr, id string, by keys.Caller) error {
+	o, err := c.client(addr).Cancel(ctx, jobRequest(id, by))
 	_, err = fromOutcome(o, err)
 	return errs.At("hand a cancellation over", addr, err)
 }
 
 // Status returns a job's state as the instance at addr reports it. The errors are
 // those of package core, wrapped.
-func (c *Client) Status(ctx context.Context, addr, id string) (flow.Status, error) {
-	o, err := c.client(addr).Status(ctx, &cellpb.JobRequest{Id: id})
+func (c *Client) Status(ctx context.Context, addr, id string, by keys.Caller) (flow.Status, error) {
+	o, err := c.client(addr).Status(ctx, jobRequest(id, by))
 	st, err := fromOutcome(o, err)
 	return st, errs.At("ask for a job's state", addr, err)
 }
@@ -191,7 +203,7 @@
 	case err != nil:
 		return flow.Status{}, core.ErrOutcomeUnknown
 	}
-	st := flow.Status{Queue: o.Queue, State: flow.State(o.State), ConfigVersion: o.ConfigVersion}
+	st := flow.Status{Queue: o.Queue, State: flow.State(o.State), ConfigVersion: o.ConfigVersion, Customer: o.Customer}
 	switch o.Code {
 	case codeExecuted:
 		return st, nil
@@ -199,6 +211,8 @@
 		return st, core.ErrNotExecuted
 	case codeJobNotFound:
 		return st, core.ErrJobNotFound
+	case codeOtherCustomer:
+		return st, core.ErrOtherCustomer
 	}
 	return st, core.ErrOutcomeUnknown
 }
--- a/internal/standin/sites/site.go
+++ b/internal/standin/sites/site.go
@@ -18,6 +18,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/standin/fleet"
 	"github.com/tamaracklink/tamaracklink/internal/standin/store"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
 	"github.com/tamaracklink/tamaracklink/internal/state/sched"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
@@ -42,6 +43,7 @@
 	Logger   zerolog.Logger
 	// Domain returns the failure domain of an instance. If nil, all are in one.
 	Domain func(name string) string
+	Keys   keys.Bounds
 }
 
 // Site is a set of instances that share one store and one fleet of workers.
@@ -53,6 +55,7 @@
 	directory *store.Store
 	log       zerolog.Logger
 	domain    func(name string) string
+	keys      keys.Bounds
 
 	mu           sync.Mutex // guards the fields below
 	newestConfig *flow.Config
@@ -80,7 +83,7 @@
 		Store: store.New(1), log: cfg.Logger, instances: map[string]*instance{}, specs: map[string]*flow.Spec{}, unresponsive: map[string]bool{}, machines: map[string]core.Machine{},
 		configLog: store.New(2), directory: store.New(3), configs: map[int64]*flow.Config{},
 	}
-	s.domain = cfg.Domain
+	s.domain, s.keys = cfg.Domain, cfg.Keys
 	if s.domain == nil {
 		s.domain = func(string) string { return "d" }
 	}
@@ -114,6 +117,7 @@
 	c := core.New(core.Settings{
 		Instance: name, Incarnation: incarnation, Domain: s.domain(name), Addr: name, Machine: machine,
 		Params: sched.Params{MaxLease: MaxLease, LeaderLease: 4 * time.Second, Retention: 120 * time.Second, MaxListAge: 3 * time.Second},
+		Keys:   s.keys,
 		Log:    s.Store.Log(name), ConfigLog: s.configLog.Log(name), Directory: s.directory.Log(name),
 		DecodeConfig: s.decodeConfig,
 		Workers:      s.Fleet.Calls(name), Now: time.Now, Uptime: func() time.Duration { return time.Since(startedAt) },
@@ -175,11 +179,19 @@
 	s.configs[c.Version] = c
 	s.newestConfig = c
 	s.mu.Unlock()
-	record := ledger.Record{Key: configKey, Value: strconv.AppendInt(nil, c.Version, 10)}
+	s.AppendToConfigLog(strconv.FormatInt(c.Version, 10))
+}
+
+// AppendToConfigLog appends a record of a configuration, which names no version
+// unless value is a number.
+func (s *Site) AppendToConfigLog(value string) {
 	// The store has no fault here, and it stores every append without a producer.
-	_, _ = s.configLog.Log("operator").Append(context.Background(), ledger.Producer{}, 0, []ledger.Record{record})
+	_, _ = s.configLog.Log("operator").Append(context.Background(), ledger.Producer{}, 0, []ledger.Record{{Key: configKey, Value: []byte(value)}})
 }
 
+// SetConfigFault sets the fault of an instance's reads of the configuration.
+func (s *Site) SetConfigFault(name string, fault store.Fault) { s.configLog.SetFault(name, fault) }
+
 // AppendToDirectory appends a record to the directory, as another writer could.
 func (s *Site) AppendToDirectory(key string, value []byte) {
 	// The store has no fault here, and it stores every append without a producer.
@@ -220,15 +232,15 @@
 			}
 			return core.ErrNotExecuted
 		},
-		Cancel: func(ctx context.Context, addr, id string) error {
+		Cancel: func(ctx context.Context, addr, id string, by keys.Caller) error {
 			if c := s.reachableCore(addr); c != nil {
-				return c.Cancel(ctx, id)
+				return c.Cancel(ctx, id, by)
 			}
 			return core.ErrNotExecuted
 		},
-		Status: func(ctx context.Context, addr, id string) (flow.Status, error) {
+		Status: func(ctx context.Context, addr, id string, by keys.Caller) (flow.Status, error) {
 			if c := s.reachableCore(addr); c != nil {
-				return c.CurrentStatus(ctx, id)
+				return c.CurrentStatus(ctx, id, by)
 			}
 			return flow.Status{}, core.ErrNotExecuted
 		},
@@ -342,7 +354,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	status, err := c.StatusOrForward(ctx, id)
+	status, err := c.StatusOrForward(ctx, id, keys.Caller{})
 	if err != nil {
 		return err.Error()
 	}
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -15,7 +15,9 @@
 	"github.com/tamaracklink/tamaracklink/internal/state/admit"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/keys"
 	"github.com/tamaracklink/tamaracklink/internal/state/strict"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 const maxBodyBytes = 1 << 20 // bytes of a submitted job
@@ -33,7 +35,8 @@
 	State string `json:"state"`
 	// ConfigVersion is the version of the configuration under which the job was
 	// accepted.
-	ConfigVersion int64 `json:"config-version,omitempty"`
+	ConfigVersion int64  `json:"config-version,omitempty"`
+	Customer      string `json:"customer,omitempty"` // empty if there is none
 }
 
 // QueueView is the JSON form of a queue.
@@ -48,6 +51,11 @@
 	Ready         bool     `json:"ready"`
 	Leading       bool     `json:"leads"`
 	Queues        []string `json:"queues"`
+	// Customers is the number of customers, nil if callers need no keys.
+	Customers *int `json:"customers,omitempty"`
+	// ProofAgeMs is the age of the proof that the configuration is the newest, nil
+	// if there is none or callers need no keys.
+	ProofAgeMs *int64 `json:"proof-age-ms,omitempty"`
 }
 
 type errorReply struct {
@@ -63,6 +71,7 @@
 	codeOutcomeUnknown = "outcome-unknown"
 	codeJobNotFound    = "no-such-job"
 	codeQueueNotFound  = "no-such-queue"
+	codeOtherCustomer  = "other-customer"
 )
 
 func badRequest(err error) errorReply {
@@ -102,7 +111,22 @@
 		return
 	}
 	spec.Policy, spec.ConfigVersion, spec.AcceptedMs = queue.Policy, cfg.Version, s.Now().UnixMilli()
-	if err := spec.Check(); err != nil {
+	spec.MaxRunning = work.Size{}
+	if spec.Customer != "" {
+		customer := cfg.Customer(spec.Customer)
+		if customer == nil {
+			writeJSON(w, http.StatusBadRequest, badRequest(&errs.Error{
+				Step: "check job", Peer: "caller", Path: "customer", Value: spec.Customer, Allowed: "a customer of the configuration",
+			}))
+			return
+		}
+		spec.MaxRunning = customer.MaxRunning
+	}
+	err = spec.Check()
+	if err == nil {
+		err = spec.CheckQuota()
+	}
+	if err != nil {
 		writeJSON(w, http.StatusBadRequest, badRequest(err))
 		return
 	}
@@ -110,20 +134,20 @@
 		s.writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, JobView{ID: spec.ID, Queue: spec.Queue, State: flow.Queued.String(), ConfigVersion: cfg.Version})
+	writeJSON(w, http.StatusOK, JobView{ID: spec.ID, Queue: spec.Queue, State: flow.Queued.String(), ConfigVersion: cfg.Version, Customer: spec.Customer})
 }
 
 func (s *Server) showJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	status, err := s.Core.StatusOrForward(r.Context(), p.ByName("id"))
+	status, err := s.Core.StatusOrForward(r.Context(), p.ByName("id"), keys.Caller{})
 	if err != nil {
 		s.writeError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, JobView{ID: p.ByName("id"), Queue: status.Queue, State: status.State.String(), ConfigVersion: status.ConfigVersion})
+	writeJSON(w, http.StatusOK, JobView{ID: p.ByName("id"), Queue: status.Queue, State: status.State.String(), ConfigVersion: status.ConfigVersion, Customer: status.Customer})
 }
 
 func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	if err := s.Core.CancelOrForward(r.Context(), p.ByName("id")); err != nil {
+	if err := s.Core.CancelOrForward(r.Context(), p.ByName("id"), keys.Caller{}); err != nil {
 		s.writeError(w, err)
 		return
 	}
@@ -151,6 +175,14 @@
 		for i := range cfg.Queues {
 			view.Queues = append(view.Queues, cfg.Queues[i].Name)
 		}
+		if cfg.CustomersOn {
+			n := len(cfg.Customers)
+			view.Customers = &n
+			if age, ok := s.Core.ProofAge(); ok {
+				ms := age.Milliseconds()
+				view.ProofAgeMs = &ms
+			}
+		}
 	}
 	writeJSON(w, http.StatusOK, view)
 }
@@ -164,6 +196,9 @@
 	case errors.Is(err, core.ErrJobNotFound):
 		reply.Code = codeJobNotFound
 		writeJSON(w, http.StatusNotFound, reply)
+	case errors.Is(err, core.ErrOtherCustomer):
+		reply.Code = codeOtherCustomer
+		writeJSON(w, http.StatusConflict, reply)
 	case errors.Is(err, core.ErrNotExecuted):
 		retryAfter := admit.RetryAfter(nil)
 		reply.Code, reply.RetryAfterMs = codeNotExecuted, retryAfter.Milliseconds()
