internal/testing/soak: keys are removed while processes are cut off, paused and killed

Cause: the lease on the configuration was tested only in virtual time and in one process.

Ruled out: relying on the random faults.

Each configuration has a key that no other has. At the start one instance loses the store and one is paused, for longer than revoke_ms after a removal; then the random faults follow. Callers check that no request with a key that was removed longer ago is executed, and that no key that was added longer ago than config_apply_ms is unauthorized.

--- a/internal/testing/soak/caller_test.go
+++ b/internal/testing/soak/caller_test.go
@@ -52,6 +52,9 @@
 		}
 		c.query(client)
 		c.checkVersion(client)
+		if c.site.keyed {
+			c.checkKey(client)
+		}
 	}
 }
 
@@ -126,6 +129,29 @@
 	}
 }
 
+// checkKey checks that no instance, whatever its faults, executes a request with a
+// key that was removed too long ago, or rejects one with a key that is there long
+// enough.
+func (c *caller) checkKey(client *http.Client) {
+	s := c.site
+	s.mu.Lock()
+	v := 1 + c.rng.IntN(s.version)
+	addedAt, removedAt := s.configuredAt[v], s.configuredAt[v+1]
+	s.mu.Unlock()
+	in, sentAt := s.anyInstance(c.rng), time.Now()
+	// A peer that is not cut off knows the job's state.
+	status, _ := in.callWithKey(client, versionKey(v), http.MethodGet, fmt.Sprintf("/q/%s%010x", c.name, c.n), "")
+	s.mu.Lock()
+	newest := s.version
+	s.mu.Unlock()
+	switch {
+	case (status == http.StatusOK || status == http.StatusGone) && !removedAt.IsZero() && sentAt.Sub(removedAt) > revokeTime:
+		s.t.Errorf("instance %s: executed a request sent %v after its key was removed", in.name, sentAt.Sub(removedAt))
+	case status == http.StatusUnauthorized && v == newest && !addedAt.IsZero() && sentAt.Sub(addedAt) > applyTime:
+		s.t.Errorf("instance %s: unauthorized request sent %v after its key was added", in.name, sentAt.Sub(addedAt))
+	}
+}
+
 // checkJobs checks, once the faults have ended, that accepted jobs become
 // complete, that refused ones have never run, and that cancelled ones have not
 // started after their cancellation.
--- a/internal/testing/soak/site_test.go
+++ b/internal/testing/soak/site_test.go
@@ -44,6 +44,9 @@
 	started  map[string]int   // tasks that workers were told to start, by job
 	startsAt map[string]int64 // time of the last start, in Unix milliseconds, by job
 	version  int              // newest configuration version
+	keyed    bool             // the configuration has a customer
+	// configuredAt is a time after each version was confirmed, by version.
+	configuredAt map[int]time.Time
 }
 
 // instance is one process and its proxy to the store.
@@ -59,9 +62,9 @@
 	life    int // number of processes started
 }
 
-func newSite(t *testing.T, program, dir string) *site {
+func newSite(t *testing.T, program, dir string, keyed bool) *site {
 	t.Helper()
-	s := &site{t: t, dir: dir, started: map[string]int{}, startsAt: map[string]int64{}}
+	s := &site{t: t, dir: dir, started: map[string]int{}, startsAt: map[string]int64{}, keyed: keyed, configuredAt: map[int]time.Time{}}
 	s.platform = &wire.Platform{Service: "svc", TicketValidity: 1500 * time.Millisecond}
 	s.platform.Fleet = fleet.New(workers, work.Size{CPU: 16000, Memory: 64000}, "svc", 6*time.Second, s.taskSpec)
 	s.configure()
@@ -116,6 +119,12 @@
 	}
 }
 
+// callerKey is the key of all callers, if the site has a customer.
+const callerKey = "k"
+
+// versionKey returns the key that only the configuration of a version has.
+func versionKey(version int) string { return fmt.Sprintf("only%d", version) }
+
 // configure puts the next configuration version in force. Version v has the
 // queue of all jobs and one, at /v/, that only it has.
 func (s *site) configure() {
@@ -126,8 +135,15 @@
 	route := func(name, prefix string) string {
 		return fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":%q,"target_latency_ms":1000,"priority":1,"service":"svc","max_attempts":9,"stretch":2}`, name, prefix)
 	}
-	s.append(wire.TopicOrders, ledger.Record{Key: "config", Value: fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s],"limits":{"max_body_bytes":4096}}`,
-		v, route("jobs", "/q/"), route(fmt.Sprintf("only%d", v), fmt.Sprintf("/%d/", v)))})
+	tenants := ""
+	if s.keyed {
+		tenants = fmt.Sprintf(`,"tenants":[{"name":"red","api_keys":[%q,%q],"weight":9}]`, callerKey, versionKey(v))
+	}
+	s.append(wire.TopicOrders, ledger.Record{Key: "config", Value: fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s],"limits":{"max_body_bytes":4096}%s}`,
+		v, route("jobs", "/q/"), route(fmt.Sprintf("only%d", v), fmt.Sprintf("/%d/", v)), tenants)})
+	s.mu.Lock()
+	s.configuredAt[v] = time.Now()
+	s.mu.Unlock()
 }
 
 // store returns the store of the ledger.
@@ -137,8 +153,8 @@
 	port := ports.Free(s.t, 4)
 	in := &instance{name: name, settings: filepath.Join(s.dir, name+".toml"), callers: fmt.Sprintf("127.0.0.1:%d", port), metricsPort: port + 3, store: s.newProxy(storeAddr)}
 	text := fmt.Sprintf("node_name = %q\nzone = \"z\"\nip = \"127.0.0.1\"\nport_range = [%d,%d]\nadvice = %q\n[listen]\nfront = %q\nready_addr = \"127.0.0.1:%d\"\n"+
-		"[bounds]\nhold_max_ms = 6000\ngang_wait_ms = 3000\nstatus_s = 120\ngrace_s = 2\ncontact_ms = 3000\n[platform]\naddress = %q\n",
-		name, port+1, port+1, storeAddr, in.callers, port+2, in.store.addr)
+		"[bounds]\nhold_max_ms = 6000\ngang_wait_ms = 3000\nstatus_s = 120\ngrace_s = 2\ncontact_ms = 3000\nstrict_revoke = true\nrevoke_ms = %d\nconfig_apply_ms = %d\n[platform]\naddress = %q\n",
+		name, port+1, port+1, storeAddr, in.callers, port+2, revokeTime.Milliseconds(), applyTime.Milliseconds(), in.store.addr)
 	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -204,6 +220,10 @@
 
 // call makes a caller's request. It returns status 0 if there is no answer.
 func (in *instance) call(client *http.Client, method, path, body string) (int, string) {
+	return in.callWithKey(client, callerKey, method, path, body)
+}
+
+func (in *instance) callWithKey(client *http.Client, key, method, path, body string) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+in.callers+path, strings.NewReader(body))
@@ -211,6 +231,7 @@
 		return 0, err.Error()
 	}
 	r.Host = "h"
+	r.Header.Set("X-Key", key)
 	resp, err := client.Do(r)
 	if err != nil {
 		return 0, err.Error()
--- a/internal/testing/soak/soak_test.go
+++ b/internal/testing/soak/soak_test.go
@@ -25,6 +25,7 @@
 var ciSeeds = []uint64{
 	1,
 	107,  // a cancellation was carried out, but none of its attempts had an answer; the check took the job for lost
+	2,    // with a customer, as all even seeds
 	2007, // an instance could not listen: a connection had got the port that the test had found free
 }
 
@@ -34,6 +35,8 @@
 	recoverTime  = 12 * time.Second // after which calls must be served again
 	finishTime   = 20 * time.Second // after which accepted jobs must be complete
 	configTime   = 2 * time.Second  // from a configuration until it is in force
+	revokeTime   = 5 * time.Second  // from the removal of a key until no request with it is executed
+	applyTime    = 3 * time.Second  // from the addition of a key until no request with it is unauthorized
 	cancelTime   = 3 * time.Second  // from an acknowledged cancellation until no task starts
 	clients      = 6
 	tasksOfAJob  = 3
@@ -46,7 +49,8 @@
 // and query jobs on connections that they keep open, while processes are
 // stopped, paused, killed and restarted, connections to the store and the
 // workers are delayed, cut one way, silenced and reset, the store refuses,
-// loses answers and appends late, and the configuration changes.
+// loses answers and appends late, and the configuration changes. With an even
+// seed callers need a key, and each change also removes a key and adds one.
 func TestProcessesKeepPromisesUnderFaults(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs processes in real time")
@@ -79,7 +83,7 @@
 		}
 		t.Logf("the logs of the processes are in %s", dir)
 	})
-	s := newSite(t, program, dir)
+	s := newSite(t, program, dir, seed%2 == 0)
 	waitServed(s, finishTime)
 
 	stop := make(chan struct{})
@@ -90,6 +94,9 @@
 		callers = append(callers, c)
 		wg.Go(func() { c.run(stop) })
 	}
+	if s.keyed {
+		removeKeyUnseen(s)
+	}
 	injectFaults(s, program, rand.New(rand.NewPCG(seed, 1)))
 	close(stop)
 	wg.Wait()
@@ -120,6 +127,19 @@
 	}
 }
 
+// removeKeyUnseen removes a key that an instance without the store and one that is
+// paused do not see until after revokeTime.
+func removeKeyUnseen(s *site) {
+	cut, paused := s.instances[0], s.instances[1]
+	cut.store.set(silent)
+	paused.signal(syscall.SIGSTOP)
+	s.configure()
+	time.Sleep(revokeTime + time.Second)
+	paused.signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	cut.store.set(passing)
+}
+
 // injectFaults injects faults one after another, each for a random time, so
 // that they overlap.
 func injectFaults(s *site, program string, rng *rand.Rand) {
