state/admit, state/sched: decision on jobs that can't complete in time, and the load that it needs

Cause: a job that can't complete within three times its objective is stored and waits until it is of no use (requirement R3). Its client is not told to come back. Change: admit.Decide accepts a job or refuses it with a Retry-After, by a summary of the leader's backlog; sched.Engine.Load makes the summary from the pending steps and from sums that are kept with each run. The objective of a job moves to package flow, because both packages need it.

--- a/internal/state/sched/backfill_test.go
+++ b/internal/state/sched/backfill_test.go
@@ -76,7 +76,7 @@
 			s.run(30 * time.Second)
 			inTime := 0
 			for _, id := range []string{"gangx", "gangy"} {
-				if p := s.progress(id); p.State == flow.Complete && p.EndedMs-s.jobs[id].spec.AcceptedMs <= objective(s.jobs[id].spec) {
+				if p := s.progress(id); p.State == flow.Complete && p.EndedMs-s.jobs[id].spec.AcceptedMs <= s.jobs[id].spec.ObjectiveMs() {
 					inTime++
 				}
 			}
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -94,6 +94,7 @@
 	nextTick             time.Time
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]partialReservation // by step
+	load                 loadSums                      // for summaries of the load
 	nextInTurn           int                           // among the pending steps evaluated in turn, the one with which the next pass begins
 }
 
@@ -117,6 +118,7 @@
 	return &Engine{
 		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
 		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, scoredRuns: map[string][]*run{}, partialReservations: map[TaskID]partialReservation{},
+		load: newLoadSums(),
 	}
 }
 
@@ -143,7 +145,7 @@
 		return
 	}
 	j := &job{Job: fj, publishedState: fj.State, addedAt: now, seq: e.jobsAdded, placements: map[int]map[int]*stepPlacement{}, runs: map[TaskID]*run{}}
-	j.objectiveMs, j.remainingMs = objective(fj.Spec), remainingWork(fj.Spec)
+	j.objectiveMs, j.remainingMs = fj.ObjectiveMs(), remainingWork(fj.Spec)
 	e.jobsAdded++
 	e.jobs[fj.ID] = j
 	for _, r := range fj.Progress.Rounds {
@@ -171,22 +173,6 @@
 	}
 }
 
-// objective returns the time in ms within which a round of the job should be
-// complete: the policy's multiple of the longest chain of estimates, plus
-// slack.
-func objective(spec *flow.Spec) int64 {
-	longestTo := make([]int64, len(spec.Steps))
-	longest := int64(0)
-	for i := range spec.Steps {
-		for _, dependency := range spec.Steps[i].After {
-			longestTo[i] = max(longestTo[i], longestTo[dependency])
-		}
-		longestTo[i] += spec.Steps[i].EstimateMs
-		longest = max(longest, longestTo[i])
-	}
-	return int64(spec.Policy.Stretch*float64(longest)) + spec.Policy.SlackMs
-}
-
 // remainingWork returns, for each step, the longest chain of estimates from the
 // step on, in ms.
 func remainingWork(spec *flow.Spec) []int64 {
--- a/internal/state/sched/estimates.go
+++ b/internal/state/sched/estimates.go
@@ -113,6 +113,7 @@
 	if st.EstimateMs <= 0 || r.startedAt.IsZero() || r.number > 1 {
 		return
 	}
+	e.load.noteDone(now, r, st)
 	logRatio := math.Log(float64(now.Sub(r.startedAt).Milliseconds()+1) / float64(st.EstimateMs))
 	q := e.ensureQueueEstimates(r.job.Queue)
 	relative := max(-maxLogRatio, min(maxLogRatio, logRatio-q.LogRatio))
--- a/internal/state/sched/mixed_load_test.go
+++ b/internal/state/sched/mixed_load_test.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		took := p.EndedMs - j.at.UnixMilli()
-		switch objective := objective(j.spec); {
+		switch objective := j.spec.ObjectiveMs(); {
 		case took <= objective:
 			r.inTime++
 		case took <= 3*objective:
--- a/internal/state/sched/reservation_test.go
+++ b/internal/state/sched/reservation_test.go
@@ -236,8 +236,8 @@
 	spec := gang("small", 14000)
 	s.run(5 * time.Second)
 	p := s.progress("small")
-	if p.State != flow.Complete || p.EndedMs-spec.AcceptedMs > objective(spec) {
-		t.Errorf("the gang that fits has state %s after %v; want it complete within its objective of %d ms", p.State, 5*time.Second, objective(spec))
+	if p.State != flow.Complete || p.EndedMs-spec.AcceptedMs > spec.ObjectiveMs() {
+		t.Errorf("the gang that fits has state %s after %v; want it complete within its objective of %d ms", p.State, 5*time.Second, spec.ObjectiveMs())
 	}
 	s.run(30 * time.Second)
 	is.Equal(s.progress("wide").State, flow.Complete)
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -69,6 +69,7 @@
 	}
 	e.index.update(w)
 	j.runs[id] = r
+	e.load.add(r, size.CPU)
 	e.checkNow(w)
 	return r
 }
@@ -327,6 +328,7 @@
 	}
 	e.index.update(r.worker)
 	delete(r.job.runs, r.id)
+	e.load.add(r, -r.size.CPU)
 	e.checkNow(r.worker)
 	e.unsavedJobs[r.job] = true
 	if !r.job.State.Final() {
