coordination/core: refuse jobs that can't complete in time before they are stored

Cause: the decision of package admit needs the leader's backlog at the replica that would append the job, and its answer has to reach the client. Change: where customers are on, the leader adds a record of the load to its appends, at most each 0.5 s while there is a backlog and one after it. Core.Submit decides before the append. The refusal is core.RejectedError, Outcome.retry_after_s between instances, and 503 with Retry-After for clients. No other replica is tried, and the breaker doesn't count it as a failure. Before a refusal the ledger is read to its end, so that a job that was accepted elsewhere is not refused; a call with an attempt of unknown outcome stays unknown. Ruled out: measuring a record's age from the read that returned it, since after a gap or a load of the newest records it may be far older; it counts from the last read that reached the end without it. Keeping the record in an append that is repeated after a refusal of the store. Conclusion: without customers in the configuration nothing is written and nothing is refused.

--- a/internal/coordination/core/apply.go
+++ b/internal/coordination/core/apply.go
@@ -89,6 +89,8 @@
 		c.noteContact(now)
 	case keyEstimates:
 		c.estimates = r.Value
+	case keyLoad:
+		err = c.applyLoad(r.Value)
 	}
 	if err != nil {
 		c.settings.Logger.Error().Err(err).Str("key", r.Key).Msg("ledger: skipping a record that can't be decoded")
--- a/internal/coordination/core/calls.go
+++ b/internal/coordination/core/calls.go
@@ -53,8 +53,12 @@
 func (c *Core) IsLeader() bool { return c.leading.Load() }
 
 // Submit stores a job. It returns nil for a job that is known already. The
-// error is ErrNotExecuted or ErrOutcomeUnknown, or that of encoding the job.
+// error is a *RejectedError, ErrNotExecuted, ErrOutcomeUnknown, or that of
+// encoding the job.
 func (c *Core) Submit(ctx context.Context, s *flow.Spec) error {
+	if rejected := c.checkAdmission(ctx, s); rejected != nil {
+		return rejected
+	}
 	if _, ok := c.index.Get(s.ID); ok {
 		return nil
 	}
--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -107,6 +107,7 @@
 	peers       atomic.Pointer[map[string]instanceRecord]
 	registering chan struct{} // signals register that the instance's record has changed
 	replicas    replicaCalls
+	admission   admission
 
 	events chan func(now time.Time) // run in order by the loop
 	done   chan struct{}
--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -127,6 +127,7 @@
 		return nil
 	}
 	c.election.term, c.election.leader = cl.Term, cl
+	c.admission.term.Store(cl.Term)
 	c.noteContact(now)
 	own := cl.Instance == c.settings.Instance && cl.Incarnation == c.settings.Incarnation
 	c.settings.Logger.Info().Int64("term", cl.Term).Str("instance", cl.Instance).Bool("resigned", cl.Resigned).Bool("mine", own).Msg("leader: claim read")
--- a/internal/coordination/core/leader.go
+++ b/internal/coordination/core/leader.go
@@ -44,6 +44,7 @@
 	resigned   chan struct{} // set to resign; closed when the resignation is stored or the term has ended
 	// estimatesAt is when the record of estimates was last appended.
 	estimatesAt time.Time
+	loads       loadRecords
 }
 
 // listState is the state of the leader's calls for the list of workers.
@@ -106,6 +107,9 @@
 			records = append(records, r)
 		}
 	}
+	if r, ok := c.loadRecord(now); ok {
+		records = append(records, r)
+	}
 	if a.resigned != nil {
 		if r, err := encodeRecord(keyLeader, claim{Term: c.election.term, Instance: c.settings.Instance, Incarnation: c.settings.Incarnation, Resigned: true}); err == nil {
 			records = append(records, r)
@@ -163,7 +167,7 @@
 	case errors.As(err, &refused):
 		// Nothing was stored, so the same records are sent again after a pause.
 		c.settings.Logger.Warn().Err(err).Msg("leader: append refused")
-		c.retryAppend(b, records, term, resigned)
+		c.retryAppend(b, withoutLoad(records), term, resigned)
 	default:
 		c.noteFence(err)
 		c.stepDown(now, err.Error())
--- a/internal/coordination/core/peers.go
+++ b/internal/coordination/core/peers.go
@@ -159,8 +159,8 @@
 		err = call(ctx, p)
 		cancel()
 		c.settings.Logger.Info().Str("job", id).Str("call", operation).Str("peer", p).AnErr("refusal", err).Msg("core: forwarded to peer")
-		if !errors.Is(err, ErrNotExecuted) && !errors.Is(err, ErrOutcomeUnknown) {
-			return err
+		if !notDone(err) {
+			return certain(err, unknown)
 		}
 		unknown = unknown || errors.Is(err, ErrOutcomeUnknown)
 	}
--- a/internal/coordination/core/records.go
+++ b/internal/coordination/core/records.go
@@ -18,6 +18,7 @@
 	keyLeader    = "leader"
 	keyHeartbeat = "beat"
 	keyEstimates = "learned"
+	keyLoad      = "load"
 )
 
 // leaderProducer is the producer name that the appends of all leaders share.
--- a/internal/coordination/core/replicas.go
+++ b/internal/coordination/core/replicas.go
@@ -166,7 +166,7 @@
 		failed := notDone(err)
 		c.replicas.note(addr, !failed, c.settings.Now())
 		if !failed {
-			return err
+			return certain(err, unknown)
 		}
 		c.settings.Logger.Info().Str("job", id).Str("call", operation).Str("peer", addr).AnErr("refusal", err).Msg("core: replica did not carry out a call")
 		unknown = unknown || errors.Is(err, ErrOutcomeUnknown)
--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -27,6 +27,9 @@
 	codeJobNotFound
 )
 
+// maxRetryAfterS bounds the Retry-After that a peer sends, in seconds.
+const maxRetryAfterS = 3600
+
 // Server handles the calls of other instances. Core must be set.
 type Server struct{ Core *core.Core }
 
@@ -85,9 +88,12 @@
 
 func toOutcome(st flow.Status, err error) *cellpb.Outcome {
 	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State), ConfigVersion: st.ConfigVersion}
+	var rejected *core.RejectedError
 	switch {
 	case errors.Is(err, core.ErrJobNotFound):
 		o.Code = codeJobNotFound
+	case errors.As(err, &rejected):
+		o.Code, o.RetryAfterS = codeNotExecuted, int64(rejected.RetryAfter/time.Second)
 	case errors.Is(err, core.ErrNotExecuted):
 		o.Code = codeNotExecuted
 	case err != nil:
@@ -196,6 +202,9 @@
 	case codeExecuted:
 		return st, nil
 	case codeNotExecuted:
+		if o.RetryAfterS > 0 {
+			return st, &core.RejectedError{RetryAfter: time.Duration(min(o.RetryAfterS, maxRetryAfterS)) * time.Second}
+		}
 		return st, core.ErrNotExecuted
 	case codeJobNotFound:
 		return st, core.ErrJobNotFound
--- a/internal/state/meter/meter.go
+++ b/internal/state/meter/meter.go
@@ -51,6 +51,11 @@
 	c.Inc(n)
 }
 
+// CountBy adds 1 to the counter of that name and pairs of label names and values.
+func (s *Set) CountBy(name string, labels ...string) {
+	s.registry.GetOrRegister(s.seriesKey(name, labels...), metrics.NewCounter).(metrics.Counter).Inc(1)
+}
+
 // Gauge sets the gauge of that name and pairs of label names and values to v.
 func (s *Set) Gauge(name string, v float64, labels ...string) {
 	g := s.registry.GetOrRegister(s.seriesKey(name, labels...), metrics.NewGaugeFloat64).(metrics.GaugeFloat64)
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -160,12 +160,16 @@
 // the outcome of the call is unknown.
 func (s *Server) writeError(w http.ResponseWriter, err error) {
 	reply := errorReply{Errors: []string{err.Error()}}
+	var rejected *core.RejectedError
 	switch {
 	case errors.Is(err, core.ErrJobNotFound):
 		reply.Code = codeJobNotFound
 		writeJSON(w, http.StatusNotFound, reply)
-	case errors.Is(err, core.ErrNotExecuted):
+	case errors.As(err, &rejected), errors.Is(err, core.ErrNotExecuted):
 		retryAfter := admit.RetryAfter(nil)
+		if rejected != nil {
+			retryAfter = rejected.RetryAfter
+		}
 		reply.Code, reply.RetryAfterMs = codeNotExecuted, retryAfter.Milliseconds()
 		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 		writeJSON(w, http.StatusServiceUnavailable, reply)
