--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -29,6 +29,9 @@
 	codeOtherCustomer
 )
 
+// maxRetryAfterS bounds the Retry-After that a peer sends, in seconds.
+const maxRetryAfterS = 3600
+
 // Server handles the calls of other instances. Core must be set.
 type Server struct{ Core *core.Core }
 
@@ -95,11 +98,14 @@
 
 func toOutcome(st flow.Status, err error) *cellpb.Outcome {
 	o := &cellpb.Outcome{Queue: st.Queue, State: int32(st.State), ConfigVersion: st.ConfigVersion, Customer: st.Customer}
+	var rejected *core.RejectedError
 	switch {
 	case errors.Is(err, core.ErrJobNotFound):
 		o.Code = codeJobNotFound
 	case errors.Is(err, core.ErrOtherCustomer):
 		o.Code = codeOtherCustomer
+	case errors.As(err, &rejected):
+		o.Code, o.RetryAfterS = codeNotExecuted, int64(rejected.RetryAfter/time.Second)
 	case errors.Is(err, core.ErrNotExecuted):
 		o.Code = codeNotExecuted
 	case err != nil:
@@ -208,6 +214,9 @@
 	case codeExecuted:
 		return st, nil
 	case codeNotExecuted:
+		if o.RetryAfterS > 0 {
+			return st, &core.RejectedError{RetryAfter: time.Duration(min(o.RetryAfterS, maxRetryAfterS)) * time.Second}
+		}
 		return st, core.ErrNotExecuted
 	case codeJobNotFound:
 		return st, core.ErrJobNotFound
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -231,6 +231,7 @@
 // the outcome of the call is unknown.
 func (s *Server) writeError(w http.ResponseWriter, err error) {
 	reply := errorReply{Errors: []string{err.Error()}}
+	var rejected *core.RejectedError
 	switch {
 	case errors.Is(err, core.ErrJobNotFound):
 		reply.Code = codeJobNotFound
@@ -238,8 +239,11 @@
 	case errors.Is(err, core.ErrOtherCustomer):
 		reply.Code = codeOtherCustomer
 		writeJSON(w, http.StatusConflict, reply)
-	case errors.Is(err, core.ErrNotExecuted):
+	case errors.As(err, &rejected), errors.Is(err, core.ErrNotExecuted):
 		retryAfter := admit.RetryAfter(nil)
+		if rejected != nil {
+			retryAfter = rejected.RetryAfter
+		}
 		reply.Code, reply.RetryAfterMs = codeNotExecuted, retryAfter.Milliseconds()
 		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
 		writeJSON(w, http.StatusServiceUnavailable, reply)
