sched: quotas and shares of customers

A customer that sends many times its usual load took the workers and the placement clients from the others.

Change: package state/share holds dominant share, quota check, order and token bucket, one copy for place and sched. The engine counts the declared sizes of a customer's runs in newRun and removeRun. Each step is cut to what the quota leaves before it is evaluated; reservations, preemption and queries are further cut by what earlier steps of the customer have reserved or queried for. Starts are checked again once their record is stored, and an unanswered start is not repeated beyond a lowered quota. Nothing starts for customers with a quota while the configuration is older than Params.MaxConfigAge (Engine.SetConfigTime). Pending steps are ordered by lateness, within the weight before beyond it, priority, least dominant share / weight, arrival. Work beyond the weight (a bucket of Params.ShareWindow) neither preempts nor keeps room from work within, and sends no long query while that waits for one. The leader logs and measures the customers. flow.Spec.CheckQuota names the steps that can never start.

Not wired yet: SetConfigTime, MaxConfigAge, ShareWindow and CheckQuota in core and platform.

--- a/internal/coordination/core/stats.go
+++ b/internal/coordination/core/stats.go
@@ -85,6 +85,9 @@
 		Int("asking", s.QueriesInFlight).Int("clients", s.Clients).Float64("busy-quick", roundShare(busyQuick)).Float64("busy-long", roundShare(busyLong)).
 		Int("passes", passes.count).Int64("pass-max-ms", passes.longest.Milliseconds()).Int64("delay-max-ms", passes.maxDelay.Milliseconds()).
 		Int64("term", c.election.term).Msg("leader: state")
+	if customers := c.engine.Customers(now); customers != nil {
+		c.logCustomers(customers)
+	}
 	for _, sample := range a.Samples {
 		c.settings.Meter.Observe(latencyMetrics[sample.Latency], "", sample.Queue, sample.Took)
 	}
@@ -172,3 +175,25 @@
 		Int("placed", a.TasksPlaced).Int64("first-placed-ms", meanMs(sched.LatencyFirstPlacement)).Int64("all-placed-ms", meanMs(sched.LatencyLastPlacement)).
 		Int64("confirmed-ms", meanMs(sched.LatencyConfirmation)).Int64("recorded-ms", meanMs(sched.LatencyEndRecord)).Int64("term", c.election.term).Msg("leader: queue")
 }
+
+// logCustomers logs one line with the customers that have work, and updates their
+// metrics.
+func (c *Core) logCustomers(customers []sched.CustomerStats) {
+	all := zerolog.Dict()
+	for i := range customers {
+		s := &customers[i]
+		for name, v := range map[string]float64{
+			"customer_runs": float64(s.Runs), "customer_share": s.Share, "customer_waiting": float64(s.WaitingSteps), "customer_waiting_beyond": float64(s.WaitingBeyond),
+			"customer_waiting_quota": float64(s.WaitingQuota), "customer_jobs_beyond": float64(s.JobsBeyond), "customer_preempted": float64(s.Preempted), "customer_starts_dropped": float64(s.Dropped),
+		} {
+			c.settings.Meter.Gauge(name, v, "customer", s.Name)
+		}
+		if s.Runs == 0 && s.WaitingSteps == 0 {
+			continue
+		}
+		all.Dict(s.Name, zerolog.Dict().Int("runs", s.Runs).Int("waiting", s.WaitingSteps).Int("waiting-beyond", s.WaitingBeyond).Int("waiting-quota", s.WaitingQuota).
+			Stringer("running", s.Running).Stringer("quota", s.Quota).Float64("share", roundShare(s.Share)).Float64("fair", roundShare(s.FairShare)).
+			Int("beyond", s.JobsBeyond).Int("preempted", s.Preempted).Int("dropped", s.Dropped))
+	}
+	c.settings.Logger.Info().Dict("customers", all).Int64("term", c.election.term).Msg("leader: customers")
+}
--- a/internal/state/flow/limits_test.go
+++ b/internal/state/flow/limits_test.go
@@ -3,10 +3,13 @@
 import (
 	"math"
 	"math/bits"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // TestLimitsFitWhatIsComputedWithThem checks the products for which the limits
@@ -38,3 +41,21 @@
 	is.Equal([]int64{st.Size.CPU, st.Size.Memory, st.Size.Accelerators}, []int64{MaxAmount, MaxAmount, MaxAmount})
 	is.Equal([]float64{s.Policy.Stretch, s.Policy.PlacementService.CallMs, s.Policy.PlacementService.PerWorkerMs}, []float64{MaxStretch, MaxEstimateMs, MaxEstimateMs})
 }
+
+// TestCheckQuotaRejectsWhatNeverFits guards against jobs that are accepted and can
+// never start within their customer's quota, and against the rejection of steps that
+// start in part.
+func TestCheckQuotaRejectsWhatNeverFits(t *testing.T) {
+	step := func(n int, cpu int64, gang bool) Step {
+		return Step{Count: n, Size: work.Size{CPU: cpu, Memory: 1}, Gang: gang}
+	}
+	s := Spec{MaxRunning: work.Size{CPU: 1000}, Steps: []Step{step(9, 1000, false), step(2, 500, true), step(3, 400, true), step(1, 1001, false)}}
+	err := s.CheckQuota()
+	if err == nil || strings.Contains(err.Error(), "steps[1]") || !strings.Contains(err.Error(), "steps[2]") || !strings.Contains(err.Error(), "steps[3]") {
+		t.Errorf("got error %v; want one about steps 2 and 3", err)
+	}
+	s.MaxRunning = work.Size{}
+	if err := s.CheckQuota(); err != nil {
+		t.Errorf("got error %v without a quota", err)
+	}
+}
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
+	"github.com/tamaracklink/tamaracklink/internal/state/share"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -121,6 +122,23 @@
 	return l.Err()
 }
 
+// CheckQuota returns an error that lists the steps that can never start within
+// the customer's quota MaxRunning, or nil: gangs that exceed it as a whole, and
+// steps of which one task does.
+func (s *Spec) CheckQuota() error {
+	l := &errs.List{}
+	for i := range s.Steps {
+		st, n := &s.Steps[i], 1
+		if st.Gang {
+			n = st.Count
+		}
+		if share.Fit(work.Size{}, st.Size, s.MaxRunning, n) < n {
+			l.Add(errs.Error{Step: "check job", Peer: "caller", Path: fmt.Sprintf("steps[%d].size", i), Value: fmt.Sprintf("%d tasks at once of %v", n, st.Size), Allowed: fmt.Sprintf("the customer's quota of %v", s.MaxRunning)})
+		}
+	}
+	return l.Err()
+}
+
 // taskCount returns the number of tasks of one round.
 func (s *Spec) taskCount() int {
 	n := 0
--- a/internal/state/place/fit.go
+++ b/internal/state/place/fit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/tamaracklink/tamaracklink/internal/state/share"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -95,8 +96,8 @@
 // score is chosen.
 func (e *Engine) score(w *Worker, size, free work.Size) float64 {
 	remaining := free.Sub(size)
-	cpu := fraction(remaining.CPU, w.Capacity.CPU)
-	memory := fraction(remaining.Memory, w.Capacity.Memory)
+	cpu := share.Fraction(remaining.CPU, w.Capacity.CPU)
+	memory := share.Fraction(remaining.Memory, w.Capacity.Memory)
 	switch e.cfg.Fit {
 	case FitLeastLoaded:
 		return -(cpu + memory)
--- a/internal/state/place/queue.go
+++ b/internal/state/place/queue.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/tamaracklink/tamaracklink/internal/state/share"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -140,18 +141,18 @@
 	}
 	var best *queue
 	var bestIndex int
-	var leastShare float64
-	for _, name := range e.tenantNames {
+	var bestRank share.Rank
+	for k, name := range e.tenantNames {
 		t := e.tenants[name]
 		if len(t.queues[p].items) == 0 {
 			continue
 		}
-		share := e.dominantShare(t)
-		if best != nil && share >= leastShare {
+		rank := share.Rank{Share: share.Weighted(t.used, e.totalCapacity, float64(t.Share)), Tie: k}
+		if best != nil && !rank.Before(bestRank) {
 			continue
 		}
 		if i := e.firstCandidate(r, t, &t.queues[p]); i >= 0 {
-			best, bestIndex, leastShare = &t.queues[p], i, share
+			best, bestIndex, bestRank = &t.queues[p], i, rank
 		}
 	}
 	return best, bestIndex
@@ -194,7 +195,7 @@
 			e.pending--
 			continue
 		}
-		if r.probeFilter != nil && (it.TaskCount > 1 || !r.probeFilter(it)) || r.knownNotToFit(it) || !e.withinQuota(t, it) {
+		if r.probeFilter != nil && (it.TaskCount > 1 || !r.probeFilter(it)) || r.knownNotToFit(it) || share.Fit(t.used, it.Size, t.Quota, it.TaskCount) < it.TaskCount {
 			q.cursor++
 			continue
 		}
@@ -202,30 +203,3 @@
 	}
 	return -1
 }
-
-// withinQuota reports whether the tenant stays within its quota if the whole
-// item is placed.
-func (e *Engine) withinQuota(t *tenant, it Item) bool {
-	used := t.used.Add(it.Size.Times(int64(it.TaskCount)))
-	quota := t.Quota
-	return (quota.CPU == 0 || used.CPU <= quota.CPU) &&
-		(quota.Memory == 0 || used.Memory <= quota.Memory) &&
-		(quota.Accelerators == 0 || used.Accelerators <= quota.Accelerators)
-}
-
-// dominantShare returns the largest fraction of any resource that the tenant
-// uses, divided by the tenant's weight.
-func (e *Engine) dominantShare(t *tenant) float64 {
-	s := fraction(t.used.CPU, e.totalCapacity.CPU)
-	s = max(s, fraction(t.used.Memory, e.totalCapacity.Memory))
-	s = max(s, fraction(t.used.Accelerators, e.totalCapacity.Accelerators))
-	return s / float64(max(t.Share, 1))
-}
-
-// fraction returns n / total, or 0 if there is no total.
-func fraction(n, total int64) float64 {
-	if total <= 0 {
-		return 0
-	}
-	return float64(n) / float64(total)
-}
--- a/internal/state/sched/activity.go
+++ b/internal/state/sched/activity.go
@@ -243,7 +243,7 @@
 		e.recordLatency(ps.job.Queue, LatencyFirstPlacement, now.Sub(p.startableAt))
 		p.firstPlaced = true
 	}
-	if placed == len(ps.idleTasks) {
+	if placed == len(ps.idleTasks) && !ps.cut {
 		e.recordLatency(ps.job.Queue, LatencyLastPlacement, now.Sub(p.startableAt))
 		p.allPlaced = true
 	}
--- a/internal/state/sched/backfill.go
+++ b/internal/state/sched/backfill.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
 
 // Limits of the room that is left to waiting gangs.
 const (
@@ -29,7 +33,7 @@
 	var d roomDemand
 	for _, ps := range pending {
 		st := &ps.job.Steps[ps.step]
-		if !st.Gang || ps.lateness > 0 || taskSize(st).CPU == 0 {
+		if !st.Gang || ps.lateness > 0 || ps.beyond || taskSize(st).CPU == 0 || e.quotaFit(now, ps, len(ps.idleTasks), work.Size{}) == 0 {
 			continue
 		}
 		sp := ps.job.stepPlacement(ps.round.Number, ps.step)
--- a/internal/state/sched/bench_test.go
+++ b/internal/state/sched/bench_test.go
@@ -26,10 +26,11 @@
 }
 
 // BenchmarkPassWithoutFreeClient measures a scheduling pass in which all steps
-// but a few wait for one of 30 placement clients.
+// but a few wait for one of 30 placement clients, of no or of 20 customers.
 func BenchmarkPassWithoutFreeClient(b *testing.B) {
-	for _, n := range []int{50, 500} {
-		b.Run(fmt.Sprintf("steps=%d", n), func(b *testing.B) {
+	for _, c := range [][2]int{{50, 0}, {500, 0}, {500, 20}} {
+		n, customers := c[0], c[1]
+		b.Run(fmt.Sprintf("steps=%d/customers=%d", n, customers), func(b *testing.B) {
 			e := readyEngine(b, 350, flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000})
 			var names []string
 			for i := range 30 {
@@ -39,8 +40,17 @@
 			for _, name := range names {
 				e.HandleProbeResult(testTime(0), name, true)
 			}
+			cfg := *e.config
+			for i := range customers {
+				cfg.CustomersOn, cfg.Customers = true, append(cfg.Customers, flow.Customer{Name: fmt.Sprint(i), Weight: 1 + float64(i)})
+			}
+			e.SetConfig(&cfg)
 			for i := range n {
-				e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec(fmt.Sprintf("a%d", i), "q", taskStep(1, 1000, 400))})
+				spec := newJobSpec(fmt.Sprintf("a%d", i), "q", taskStep(1, 1000, 400))
+				if customers > 0 {
+					spec.Customer = fmt.Sprint(i % customers)
+				}
+				e.AddJob(testTime(0), &flow.Job{Spec: spec})
 			}
 			e.Schedule(testTime(0))
 			b.ReportAllocs()
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -33,6 +33,7 @@
 	stepsEvaluated int                    // steps for which workers were evaluated
 	roomDemand     roomDemand             // of gangs
 	mostlyIdle     bool                   // less than half of the usable workers' CPU is used
+	needsLongQuery bool                   // a step within its customer's weight waits for a long query
 	searchPause    time.Duration          // pause of a step after a search for workers to query that found none
 }
 
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // TaskID identifies a task of a job.
@@ -57,6 +58,12 @@
 	// MaxListAge is the age of the list of workers beyond which nothing starts, 0 if
 	// there is no limit. Workers may have shrunk since it was read.
 	MaxListAge time.Duration
+	// MaxConfigAge is the age of the configuration beyond which nothing starts for
+	// customers with a quota, 0 if there is no limit. See Engine.SetConfigTime.
+	MaxConfigAge time.Duration
+	// ShareWindow is for how long a customer may save the jobs of its guaranteed rate,
+	// which is its weight a second; 0 if no work counts as beyond the weight.
+	ShareWindow time.Duration
 }
 
 // Engine holds the scheduling state of one leader. It is not safe for
@@ -95,6 +102,10 @@
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]partialReservation // by step
 	nextInTurn           int                           // among the pending steps evaluated in turn, the one with which the next pass begins
+	accounts             map[string]*account           // by customer
+	totalWeight          float64                       // of the customers in the configuration
+	configAt             time.Time                     // as of when the configuration is known
+	capacity             work.Size                     // of the listed workers
 }
 
 // job is a job with the state that the engine derives from it.
@@ -109,6 +120,8 @@
 	remainingMs    []int64                  // by step, the longest chain of estimates from it on
 	blockedUntil   time.Time                // no start before; the retry pause after a refused start
 	startable      map[stepKey]stepProgress // steps of open rounds that have become startable
+	account        *account                 // of its customer
+	beyond         bool                     // exceeds the rate that its customer's weight guarantees
 }
 
 // New returns the engine of a leader whose term begins now. The engine has no
@@ -116,13 +129,16 @@
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
 		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
-		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, scoredRuns: map[string][]*run{}, partialReservations: map[TaskID]partialReservation{},
+		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, scoredRuns: map[string][]*run{}, partialReservations: map[TaskID]partialReservation{}, accounts: map[string]*account{},
 	}
 }
 
 // SetConfig sets the configuration in force. Nothing is scheduled before the
 // first call. cfg must not be changed afterwards.
-func (e *Engine) SetConfig(cfg *flow.Config) { e.config = cfg }
+func (e *Engine) SetConfig(cfg *flow.Config) {
+	e.config = cfg
+	e.setCustomers()
+}
 
 // policy returns the policy in force for a job: that of its queue, or the one
 // under which the job was accepted if the queue no longer exists.
@@ -144,6 +160,10 @@
 	}
 	j := &job{Job: fj, publishedState: fj.State, addedAt: now, seq: e.jobsAdded, placements: map[int]map[int]*stepPlacement{}, runs: map[TaskID]*run{}}
 	j.objectiveMs, j.remainingMs = objective(fj.Spec), remainingWork(fj.Spec)
+	j.account = e.account(fj.Customer)
+	if j.beyond = e.isBeyond(j); j.beyond {
+		j.account.activity.jobsBeyond++
+	}
 	e.jobsAdded++
 	e.jobs[fj.ID] = j
 	for _, r := range fj.Progress.Rounds {
--- a/internal/state/sched/mixed_load_test.go
+++ b/internal/state/sched/mixed_load_test.go
@@ -28,6 +28,8 @@
 	checkpoints   float64 // share of the steps whose tasks write checkpoints
 	estimateOff   float64 // deviation of the estimates from the work of a step, as a log
 	uneven        float64 // deviation between the tasks of a step, as a log
+	customer      string
+	burstFor      time.Duration // burstTime if 0
 }
 
 // mixedLoad is a load of gangs, batch jobs and urgent short jobs in which every
@@ -62,7 +64,7 @@
 }
 
 func (c *loadClass) newJob(rng *rand.Rand, id string) *flow.Spec {
-	s := &flow.Spec{ID: id, Queue: c.queue, Policy: c.policy}
+	s := &flow.Spec{ID: id, Queue: c.queue, Policy: c.policy, Customer: c.customer}
 	n := max(1, int(math.Round(logNormal(rng, c.steps, 0.4, 4))))
 	if c.steps == 1 {
 		n = 1
@@ -83,11 +85,16 @@
 }
 
 // loadResult counts the jobs of one class, those complete within their objective,
-// and those complete within three times that.
+// and those complete within three times that, and sums up the times of the complete
+// ones.
 type loadResult struct {
 	jobs, inTime, late int
+	took               time.Duration
 }
 
+// value returns what the jobs were worth to their callers, each at most 1.
+func (r *loadResult) value() float64 { return float64(r.inTime) + 0.2*float64(r.late) }
+
 // misestimate makes the estimates of a job wrong, if those of its class are, and
 // returns the job with the right ones.
 func (s *sim) misestimate(c *loadClass, rng *rand.Rand, spec *flow.Spec) *flow.Spec {
@@ -107,7 +114,7 @@
 
 // runLoad submits jobs of the classes at random times for the given time, runs
 // on for drain, and returns the outcomes of the jobs that were not cancelled, by
-// queue.
+// queue, or by customer for those that have one.
 func (s *sim) runLoad(seed uint64, classes []loadClass, during, drain time.Duration) map[string]*loadResult {
 	type submitted struct {
 		class *loadClass
@@ -115,7 +122,7 @@
 		at    time.Time
 	}
 	jobs := map[string]submitted{}
-	s.config = &flow.Config{Version: 2}
+	s.config = &flow.Config{Version: 2, CustomersOn: s.config.CustomersOn, Customers: s.config.Customers}
 	s.allowedShares = map[string]float64{}
 	for i := range classes {
 		s.config.Queues = append(s.config.Queues, flow.Queue{Name: classes[i].queue, Policy: classes[i].policy})
@@ -132,13 +139,13 @@
 			if s.now.After(until) {
 				return
 			}
-			id := fmt.Sprintf("%s%d", c.queue, n)
+			id := fmt.Sprintf("%s%s%d", c.queue, c.customer, n)
 			n++
 			spec := c.newJob(rng, id)
 			jobs[id] = submitted{c, s.misestimate(c, rng, spec), s.now}
 			s.submit(spec)
 			rate := c.perSecond
-			if s.now.After(burstAt) && s.now.Before(burstAt.Add(burstTime)) {
+			if s.now.After(burstAt) && s.now.Before(burstAt.Add(max(burstTime, c.burstFor))) {
 				rate *= c.burst
 			}
 			s.after(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), next)
@@ -151,10 +158,14 @@
 		if s.jobs[id].canceled {
 			continue
 		}
-		r := out[j.class.queue]
+		key := j.class.queue
+		if j.class.customer != "" {
+			key = j.class.customer
+		}
+		r := out[key]
 		if r == nil {
 			r = &loadResult{}
-			out[j.class.queue] = r
+			out[key] = r
 		}
 		r.jobs++
 		p := s.progress(id)
@@ -162,6 +173,7 @@
 			continue
 		}
 		took := p.EndedMs - j.at.UnixMilli()
+		r.took += time.Duration(took) * time.Millisecond
 		switch objective := objective(j.spec); {
 		case took <= objective:
 			r.inTime++
--- /dev/null
+++ b/internal/state/sched/order.go
@@ -0,0 +1,106 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/share"
+)
+
+// shareOrder yields pending steps that are sorted by pendingStep.before so that,
+// among those of equal lateness, weight and priority, a step of the customer with
+// the least share comes next. A share rises during the pass.
+type shareOrder struct {
+	steps     []pendingStep
+	next      int              // first step of the next group
+	customers []customerSteps  // of the current group
+	queue     share.Queue      // of the current group, by index in customers
+	index     map[*account]int // index in customers
+	dealtWith []bool           // by index in steps
+}
+
+// customerSteps are the steps of one customer in a group, in order of arrival.
+type customerSteps struct {
+	account *account
+	steps   []int // indexes in shareOrder.steps
+}
+
+// sameGroup reports whether only shares and arrival order the two steps.
+func (ps *pendingStep) sameGroup(other *pendingStep) bool {
+	return ps.lateness == other.lateness && ps.beyond == other.beyond && ps.priority == other.priority
+}
+
+// beginGroup adds the steps of the next group to the queue.
+func (o *shareOrder) beginGroup(e *Engine) {
+	o.customers, o.queue, o.index = o.customers[:0], o.queue[:0], map[*account]int{}
+	first := o.next
+	for ; o.next < len(o.steps) && o.steps[o.next].sameGroup(&o.steps[first]); o.next++ {
+		a := o.steps[o.next].job.account
+		k, ok := o.index[a]
+		if !ok {
+			k = len(o.customers)
+			o.index[a] = k
+			o.customers = append(o.customers, customerSteps{account: a})
+		}
+		o.customers[k].steps = append(o.customers[k].steps, o.next)
+	}
+	for k := range o.customers {
+		c := &o.customers[k]
+		o.queue = append(o.queue, share.Entry{Rank: share.Rank{Share: e.weightedShare(c.account), Tie: c.steps[0]}, Customer: k})
+	}
+	heap.Init(&o.queue)
+}
+
+// placeByShare places steps in the order of shares until the pass has evaluated
+// limit steps. It returns the steps that it has not dealt with.
+func (e *Engine) placeByShare(p *schedulingPass, steps []pendingStep, limit int) []pendingStep {
+	o := &shareOrder{steps: steps, dealtWith: make([]bool, len(steps))}
+	for p.stepsEvaluated < limit && (len(o.queue) > 0 || o.next < len(steps)) {
+		if len(o.queue) == 0 {
+			o.beginGroup(e)
+		}
+		c := &o.customers[o.queue[0].Customer]
+		step := c.steps[0]
+		e.evaluateStep(p, steps[step])
+		o.dealtWith[step] = true
+		if c.steps = c.steps[1:]; len(c.steps) == 0 {
+			heap.Pop(&o.queue)
+			continue
+		}
+		o.queue[0].Rank = share.Rank{Share: e.weightedShare(c.account), Tie: c.steps[0]}
+		heap.Fix(&o.queue, 0)
+	}
+	var rest []pendingStep
+	for i := range steps {
+		if !o.dealtWith[i] {
+			rest = append(rest, steps[i])
+		}
+	}
+	return rest
+}
+
+// maxQueryDemandAge is how long a step that waits for a long query keeps the clients
+// from steps beyond their customer's weight. It may wait in vain after that, for
+// room that no query finds.
+const maxQueryDemandAge = 3 * time.Second
+
+// findQueryDemand reports whether one of the steps within its customer's weight
+// needs a long query and has none in flight, while one beyond may compete for it. A
+// surge otherwise takes the clients from the others for the time of a query.
+func (e *Engine) findQueryDemand(now time.Time, pending []pendingStep) bool {
+	demand, beyond := false, false
+	for _, ps := range pending {
+		beyond = beyond || ps.beyond
+		demand = demand || !ps.beyond && ps.lateness < 2 && ps.waited(now) < maxQueryDemandAge && e.needsLongQueries(ps) && !e.queried(ps)
+		if demand && beyond {
+			return true
+		}
+	}
+	return false
+}
+
+// needsLongQueries reports whether the queries about a step are long.
+func (e *Engine) needsLongQueries(ps pendingStep) bool {
+	service := e.policy(ps.job).PlacementService
+	return service.Required() && queryDuration(service, minQueryWorkers) > maxQuickQuery
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // Limits on the steps that one scheduling pass evaluates, so that a pass costs no
@@ -34,8 +35,12 @@
 		return
 	}
 	p := e.newPass(now, pending)
-	n := e.placeSteps(p, pending, maxStepsPerPass-maxStepsInTurn)
-	rest := pending[n:]
+	var rest []pendingStep
+	if e.customersOn() {
+		rest = e.placeByShare(p, pending, maxStepsPerPass-maxStepsInTurn)
+	} else {
+		rest = pending[e.placeSteps(p, pending, maxStepsPerPass-maxStepsInTurn):]
+	}
 	if len(rest) == 0 {
 		return
 	}
@@ -55,6 +60,10 @@
 	for _, ps := range pending {
 		p.lowestPriority = max(p.lowestPriority, ps.priority)
 	}
+	p.needsLongQuery = e.customersOn() && e.findQueryDemand(now, pending)
+	for _, a := range e.accounts {
+		a.claimed, a.held = work.Size{}, work.Size{}
+	}
 	p.roomDemand, p.mostlyIdle = e.findRoomDemand(now, pending), e.mostlyIdle(now)
 	for i := range e.config.Queues {
 		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
@@ -69,14 +78,7 @@
 		if p.stepsEvaluated >= limit {
 			return i
 		}
-		ps.waitedLong = p.mostlyIdle && ps.waited(p.now) >= maxWaitBesideIdle
-		ps.backfills = !ps.waitedLong && e.mayOnlyBackfill(p.now, ps, p.roomDemand)
-		// Capacity is reserved for a gang before any of its tasks fits, and runs may
-		// be preempted for a step that is not of the lowest priority.
-		st := &ps.job.Steps[ps.step]
-		if (st.Gang || ps.priority < p.lowestPriority || e.index.mayFit(taskSize(st))) && e.canProgress(p, ps) {
-			e.placeStep(p, ps)
-		}
+		e.evaluateStep(p, ps)
 	}
 	return len(steps)
 }
@@ -130,8 +132,10 @@
 	step      int
 	idleTasks []int // indexes of the tasks that may start
 	lateness  int   // 0 within its objective, 1 late, 2 too late to be useful
+	beyond    bool  // its job exceeds the rate that its customer's weight guarantees
 	priority  int   // of its queue; 0 is the most urgent
 	suspect   bool  // the tasks have crash scores
+	cut       bool  // idleTasks lacks those that the customer's quota does not allow
 	backfills bool  // it may use only what waiting gangs can't
 	// waitedLong means that it has waited for maxWaitBesideIdle and most of the
 	// workers' processors are idle.
@@ -149,16 +153,16 @@
 func (e *Engine) pendingSteps(now time.Time) []pendingStep {
 	var steps []pendingStep
 	for j := range e.pendingJobs {
-		found := len(steps)
+		found, beyond := len(steps), j.beyond && e.customersOn()
 		for _, r := range j.Progress.Rounds {
 			for step := range r.Steps {
 				idle := e.startableTasks(j, r, step)
 				plain, suspect := splitSuspects(r.Steps[step], idle, j.Steps[step].Gang)
 				if len(plain) > 0 {
-					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: plain, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
+					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: plain, beyond: beyond, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
 				}
 				if len(suspect) > 0 {
-					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: suspect, suspect: true, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
+					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: suspect, suspect: true, beyond: beyond, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
 				}
 			}
 		}
@@ -173,13 +177,16 @@
 	return steps
 }
 
-// before reports whether ps is scheduled before other: by lateness, then
-// priority, then the order in which the jobs arrived, then round and step, then
-// the tasks without crash scores.
+// before reports whether ps is scheduled before other: by lateness, then those
+// within their customer's weight, then priority, then the order in which the jobs
+// arrived, then round and step, then the tasks without crash scores. With
+// customers, their shares come before the order of arrival; see shareOrder.
 func (ps *pendingStep) before(other *pendingStep) bool {
 	switch {
 	case ps.lateness != other.lateness:
 		return ps.lateness < other.lateness
+	case ps.beyond != other.beyond:
+		return other.beyond
 	case ps.priority != other.priority:
 		return ps.priority < other.priority
 	case ps.job != other.job:
@@ -237,14 +244,14 @@
 	need := len(ps.idleTasks)
 	if !policy.PlacementService.Required() {
 		candidates := e.findCandidates(p, ps, st, policy, need)
-		if n := e.placeTasks(p, ps, st, candidates, nil); n < need {
-			e.reserveAndPreempt(p, ps, st, candidates, need-n)
+		if need = e.claimable(p, ps, need-e.placeTasks(p, ps, st, candidates, nil)); need > 0 {
+			e.reserveAndPreempt(p, ps, st, candidates, need)
 		}
 		return
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	ready, permitted := e.permittedCandidates(p, ps, st, policy, sp)
-	if need -= e.placeTasks(p, ps, st, ready, sp); need == 0 {
+	if need = e.claimable(p, ps, need-e.placeTasks(p, ps, st, ready, sp)); need == 0 {
 		return
 	}
 	if queryDuration(policy.PlacementService, minQueryWorkers) > maxQuickQuery {
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -205,6 +205,8 @@
 		e.endWithoutResult(now, r, "never started")
 	case r.stopAcked && serial > r.stopAckedPoll:
 		e.endWithoutResult(now, r, "stopped before it started")
+	case r.startUnanswered && r.stopReason == "" && !e.quotaAllows(now, r):
+		e.stopRun(now, r, "the start was not answered before the customer's quota was lowered")
 	case r.startUnanswered:
 		e.checkRun(now, r)
 	case r.confirmed && serial > r.confirmedPoll:
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/share"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -30,6 +31,7 @@
 	step     TaskID // the step's ID: Index is 0
 	priority int    // of the step's queue
 	lateness int    // of the step when it was made
+	beyond   bool   // of the step
 	size     work.Size
 	partial  bool // of a gang that does not fit yet
 	expires  time.Time
@@ -40,6 +42,7 @@
 type partialReservation struct {
 	priority int // of the gang's queue
 	lateness int // of the gang when it was made
+	beyond   bool
 	expires  time.Time
 }
 
@@ -52,7 +55,8 @@
 // steps of the same or a higher priority, and drops expired reservations.
 // Reservations of lower priority don't count, so that short urgent tasks start
 // ahead of a gang that waits for capacity, nor do those of steps that are later
-// than this one: what they wait for is of less use. A partial reservation may last
+// than this one: what they wait for is of less use. Those beyond their customer's
+// weight keep nothing from steps within theirs. A partial reservation may last
 // as long as a task runs, so it does not keep idle workers from a step that has
 // waited long.
 func (e *Engine) reservedForOthers(now time.Time, w *worker, ps pendingStep) work.Size {
@@ -67,7 +71,7 @@
 			continue
 		}
 		unexpired = append(unexpired, res)
-		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && !(res.partial && ps.waitedLong) {
+		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && (ps.beyond || !res.beyond) && !(res.partial && ps.waitedLong) {
 			sum = sum.Add(res.size)
 		}
 	}
@@ -91,13 +95,13 @@
 	sp.reservedOn = nil
 }
 
-// preemptible reports whether a run may be stopped for a step of the given
-// priority. It must be of a lower priority and lose next to nothing by the
-// stop, so it must write checkpoints and be neither long-running nor a member
-// of a gang.
-func (e *Engine) preemptible(r *run, priority int) bool {
+// preemptible reports whether a run may be stopped for a step. It must be of a
+// lower priority and lose next to nothing by the stop, so it must write checkpoints
+// and be neither long-running nor a member of a gang. The shares of the customers
+// must allow it, too.
+func (e *Engine) preemptible(r *run, ps pendingStep) bool {
 	st := &r.job.Steps[r.id.Step]
-	return st.Checkpointing && !st.Gang && !st.LongRunning && r.confirmed && r.stopReason == "" && e.policy(r.job).Priority > priority
+	return st.Checkpointing && !st.Gang && !st.LongRunning && r.confirmed && r.stopReason == "" && e.policy(r.job).Priority > ps.priority && e.mayPreemptRun(ps, r)
 }
 
 // preemptibleCapacity returns the capacity of a worker that the preemption of
@@ -106,7 +110,7 @@
 func (e *Engine) preemptibleCapacity(w *worker, ps pendingStep) work.Size {
 	var sum work.Size
 	for _, r := range w.runs {
-		if e.preemptible(r, ps.priority) {
+		if e.preemptible(r, ps) {
 			sum = sum.Add(r.size)
 		}
 		if r.stopReason != "" && r.job.State != flow.Complete {
@@ -238,14 +242,15 @@
 
 // admitPartialReservation reports whether a gang may have a partial reservation
 // beside those of the same or a higher priority, and if so records it until it
-// expires. It drops those of later gangs.
+// expires. It drops those of later gangs, and for a gang within its customer's
+// weight those of gangs beyond.
 func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep) bool {
 	id, others := ps.stepID(), 0
 	for other, res := range e.partialReservations {
 		switch {
 		case !now.Before(res.expires):
 			delete(e.partialReservations, other)
-		case other != id && res.lateness > ps.lateness:
+		case other != id && (res.lateness > ps.lateness || res.beyond && !ps.beyond):
 			delete(e.partialReservations, other)
 		case other != id && res.priority <= ps.priority:
 			others++
@@ -254,7 +259,7 @@
 	if others >= maxPartialReservations {
 		return false
 	}
-	e.partialReservations[id] = partialReservation{priority: ps.priority, lateness: ps.lateness, expires: now.Add(reservationTime)}
+	e.partialReservations[id] = partialReservation{priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, expires: now.Add(reservationTime)}
 	return true
 }
 
@@ -262,10 +267,10 @@
 // reservation that the step already has there.
 func (e *Engine) reserve(p *schedulingPass, ps pendingStep, c *candidate, size work.Size, partial bool) {
 	id := ps.stepID()
-	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, size: size, partial: partial, expires: p.now.Add(reservationTime)}
+	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, size: size, partial: partial, expires: p.now.Add(reservationTime)}
 	for i := range c.worker.reservations {
 		if old := &c.worker.reservations[i]; old.step == id {
-			res.priority, res.lateness = old.priority, old.lateness
+			res.priority, res.lateness, res.beyond = old.priority, old.lateness, old.beyond
 			*old = res
 			return
 		}
@@ -275,24 +280,33 @@
 	sp.reservedOn = append(sp.reservedOn, c.worker)
 }
 
-// preempt stops runs of lower priority on a worker, those with the most CPU
-// first, until size would fit.
+// preempt stops runs of lower priority on a worker until size would fit: with
+// customers those of the one furthest above its share first, then those with the
+// most CPU.
 func (e *Engine) preempt(now time.Time, ps pendingStep, c *candidate, size work.Size) {
 	free := c.free.Sub(e.reservedForOthers(now, c.worker, ps))
 	var victims []*run
 	for _, r := range c.worker.sortedRuns() {
 		if r.stopReason != "" {
 			free = free.Add(r.size) // being stopped already
-		} else if e.preemptible(r, ps.priority) && now.Sub(r.startedAt) >= minPreemptionAge {
+		} else if e.preemptible(r, ps) && now.Sub(r.startedAt) >= minPreemptionAge {
 			victims = append(victims, r)
 		}
 	}
-	sort.SliceStable(victims, func(i, k int) bool { return victims[i].size.CPU > victims[k].size.CPU })
+	sort.SliceStable(victims, func(i, k int) bool {
+		if a, b := victims[i].job.account, victims[k].job.account; a != b && e.customersOn() {
+			if of, than := share.Weighted(a.used, e.capacity, a.Weight), share.Weighted(b.used, e.capacity, b.Weight); of != than {
+				return of > than
+			}
+		}
+		return victims[i].size.CPU > victims[k].size.CPU
+	})
 	for _, r := range victims {
 		if size.FitsIn(free) {
 			return
 		}
 		free = free.Add(r.size)
+		r.job.account.activity.preempted++
 		e.stopRun(now, r, "gives way to "+ps.job.ID)
 	}
 }
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -67,6 +67,7 @@
 	if st.LongRunning {
 		w.lasting = w.lasting.Add(size)
 	}
+	j.account.countRun(st, 1)
 	e.index.update(w)
 	j.runs[id] = r
 	e.checkNow(w)
@@ -107,6 +108,9 @@
 		e.endWithoutResult(now, r, "not ordered: the list of workers is too old")
 	case !r.worker.used.FitsIn(r.worker.Capacity):
 		e.endWithoutResult(now, r, "not ordered: the worker's capacity has shrunk")
+	case !e.quotaAllows(now, r):
+		r.job.account.activity.dropped++
+		e.endWithoutResult(now, r, "not ordered: the customer's quota was lowered, or is not known")
 	default:
 		e.sendStart(now, r)
 	}
@@ -168,6 +172,8 @@
 	case r.startUnanswered && r.stopReason == "" && (!r.worker.reachable() || !e.listIsCurrent(now)):
 		// It may have crashed, or shrunk. A start is not repeated to another
 		// incarnation.
+	case r.startUnanswered && r.stopReason == "" && !e.quotaAllows(now, r):
+		// It may run, and a lowered quota ends no run. The next report shows it.
 	case r.startUnanswered && r.stopReason == "":
 		switch {
 		case r.worker.lastIncarnation != r.incarnation:
@@ -325,6 +331,7 @@
 	if r.job.Steps[r.id.Step].LongRunning {
 		r.worker.lasting = r.worker.lasting.Sub(r.size)
 	}
+	r.job.account.countRun(&r.job.Steps[r.id.Step], -1)
 	e.index.update(r.worker)
 	delete(r.job.runs, r.id)
 	e.checkNow(r.worker)
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -30,9 +30,10 @@
 	term         int64
 	committing   bool
 	batch        *Batch
-	storeDown    bool // the store accepts no append
-	leaderPaused bool // the leader makes no step
-	cutUnlisted  bool // the list lacks workers that are cut off
+	storeDown    bool  // the store accepts no append
+	leaderPaused bool  // the leader makes no step
+	quota        int64 // highest quota in force of each customer in millicores, 0 if there is none
+	cutUnlisted  bool  // the list lacks workers that are cut off
 	workers      map[string]*simWorker
 	workerNames  []string
 	runWorkers   map[runKey]*simWorker // where a run was started
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -157,6 +157,19 @@
 			s.violation("BUDGET: %v starts for the %d. time after three workers crashed under it", o.Task, s.laterStarts[o.Task])
 		}
 	}
+	if c := stored.spec.Customer; c != "" && s.quota > 0 {
+		used := step.Size.CPU
+		for _, n := range s.workerNames {
+			for _, r := range s.workers[n].runs {
+				if s.jobs[r.id.Job].spec.Customer == c {
+					used += r.size.CPU
+				}
+			}
+		}
+		if used > s.quota {
+			s.violation("QUOTA: %v brings customer %s to %d millicores of %d", o.Task, c, used, s.quota)
+		}
+	}
 	if step.MaxPerWorker > 0 {
 		n := 1
 		for id := range w.runs {
--- a/internal/state/sched/soft_reservation.go
+++ b/internal/state/sched/soft_reservation.go
@@ -10,7 +10,8 @@
 // query about the worker is answered. It only keeps the queries of other steps
 // from naming the same workers; unlike a reservation, it keeps no task away.
 type softReservation struct {
-	priority int // of the step's queue
+	priority int  // of the step's queue
+	beyond   bool // of the step
 	size     work.Size
 	expires  time.Time
 }
@@ -32,7 +33,7 @@
 		}
 		size := taskSize(&ps.job.Steps[ps.step]).Times(int64(min(max(c.fit, 1), need)))
 		size.CPU, size.Memory = int64(float64(size.CPU)*share), int64(float64(size.Memory)*share)
-		c.worker.softReservations[id] = softReservation{priority: ps.priority, size: size, expires: expires}
+		c.worker.softReservations[id] = softReservation{priority: ps.priority, beyond: ps.beyond, size: size, expires: expires}
 		sp.softReservedOn = append(sp.softReservedOn, c.worker)
 	}
 }
@@ -47,14 +48,15 @@
 
 // fitBesideSoftReservations returns how many tasks of the step fit on a
 // candidate beside the soft reservations of other steps of the same or a higher
-// priority. It drops expired ones.
+// priority, without those beyond their customer's weight for a step within its own.
+// It drops expired ones.
 func fitBesideSoftReservations(p *schedulingPass, ps pendingStep, c *candidate) int {
 	id, available := ps.stepID(), c.available
 	for other, res := range c.worker.softReservations {
 		switch {
 		case !p.now.Before(res.expires):
 			delete(c.worker.softReservations, other)
-		case other != id && res.priority <= ps.priority:
+		case other != id && res.priority <= ps.priority && (ps.beyond || !res.beyond):
 			available = available.Sub(res.size)
 		}
 	}
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -1,6 +1,12 @@
 package sched
 
-import "time"
+import (
+	"sort"
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/share"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
 
 // Stats are figures of the leader's state, for logs and metrics.
 type Stats struct {
@@ -132,3 +138,52 @@
 	share := func(amount int64) float64 { return float64(amount) / float64(s.capacity) }
 	return CPUShares{Used: share(s.used), Unconfirmed: share(s.unconfirmed), Stopping: share(s.stopping), Reserved: share(s.reserved), ReservedIdle: share(s.reservedIdle)}
 }
+
+// CustomerStats are figures of one customer's work.
+type CustomerStats struct {
+	Name          string    // empty for the jobs without a customer
+	Runs          int       // runs that are not known to have ended
+	Running       work.Size // their declared sizes
+	Quota         work.Size // bound on Running in the configuration; 0 in a resource if there is none
+	Share         float64   // dominant share of all workers
+	FairShare     float64   // share of all workers by the customer's weight
+	WaitingSteps  int
+	WaitingBeyond int // waiting steps of jobs beyond the customer's weight
+	WaitingQuota  int // waiting steps of which the quota lets no task start
+	JobsBeyond    int // jobs beyond the customer's weight that this term has added
+	Preempted     int // runs preempted in this term
+	Dropped       int // starts dropped in this term because the quota was lowered or not known
+}
+
+// Customers returns the figures of the customers that are in the configuration or
+// have runs or waiting steps, by name. It returns nil if customers are off.
+func (e *Engine) Customers(now time.Time) []CustomerStats {
+	if !e.customersOn() {
+		return nil
+	}
+	stats := map[*account]*CustomerStats{}
+	for _, a := range e.accounts {
+		stats[a] = &CustomerStats{
+			Name: a.Name, Runs: a.runs, Running: a.used, Quota: a.MaxRunning, Share: share.Dominant(a.used, e.capacity), FairShare: e.fairShare(a),
+			JobsBeyond: a.activity.jobsBeyond, Preempted: a.activity.preempted, Dropped: a.activity.dropped,
+		}
+	}
+	for _, ps := range e.pendingSteps(now) {
+		s := stats[ps.job.account]
+		s.WaitingSteps++
+		if ps.beyond {
+			s.WaitingBeyond++
+		}
+		if e.quotaFit(now, ps, len(ps.idleTasks), work.Size{}) == 0 {
+			s.WaitingQuota++
+		}
+	}
+	var list []CustomerStats
+	for a, s := range stats {
+		if a.listed || s.Runs > 0 || s.WaitingSteps > 0 {
+			list = append(list, *s)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Name < list[k].Name })
+	return list
+}
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
+)
 
 // WaitReason is what a pending step waits for.
 type WaitReason uint8
@@ -33,12 +37,15 @@
 	// WaitNoRoom: its tasks don't fit on the workers that may run it, or on any
 	// if it needs no tickets.
 	WaitNoRoom
+	// WaitQuota: its customer's quota leaves no room, or is not known because the
+	// configuration is too old.
+	WaitQuota
 	// WaitNextPass: it can be placed, at least in part.
 	WaitNextPass
 	waitReasons
 )
 
-var waitReasonNames = [...]string{"blocked", "not-evaluated", "no-client", "querying", "renewing", "no-tickets-yet", "expired", "reserved", "for-gangs", "no-room", "next-pass"}
+var waitReasonNames = [...]string{"blocked", "not-evaluated", "no-client", "querying", "renewing", "no-tickets-yet", "expired", "reserved", "for-gangs", "no-room", "quota", "next-pass"}
 
 // String returns the reason's name.
 func (r WaitReason) String() string { return waitReasonNames[r] }
@@ -139,6 +146,9 @@
 	st := &ps.job.Steps[ps.step]
 	service := e.policy(ps.job).PlacementService
 	mayFit := e.index.mayFit(taskSize(st))
+	if e.quotaFit(now, ps, len(ps.idleTasks), work.Size{}) == 0 {
+		return WaitQuota, false
+	}
 	if !service.Required() {
 		if passFull {
 			return WaitNotEvaluated, false
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -130,6 +130,12 @@
 		}
 	}
 	e.removeUnlistedWorkers()
+	e.capacity = work.Size{}
+	for _, w := range e.workersByID {
+		if w.listed {
+			e.capacity = e.capacity.Add(w.Capacity)
+		}
+	}
 }
 
 // SetListTime sets as of when the list is that was passed to SetWorkers last, if
