--- a/internal/coordination/core/core.go
+++ b/internal/coordination/core/core.go
@@ -295,7 +295,14 @@
 			c.lastAnswerAt.Store(c.settings.Now().UnixNano())
 		}
 	}
-	defer c.updateProof(b)
+	defer func() {
+		c.updateProof(b)
+		c.post(func(now time.Time) {
+			if c.engine != nil {
+				c.setConfigTime(now)
+			}
+		})
+	}()
 	if b.Err != nil {
 		return
 	}
--- a/internal/coordination/core/election.go
+++ b/internal/coordination/core/election.go
@@ -246,6 +246,7 @@
 	c.relay = c.newRelayState()
 	if conf := c.config.Load(); conf != nil {
 		c.engine.SetConfig(conf)
+		c.setConfigTime(now)
 	}
 	c.setPlacementClients()
 	for _, id := range c.jobIDs() {
--- a/internal/coordination/core/keys.go
+++ b/internal/coordination/core/keys.go
@@ -93,3 +93,12 @@
 		c.settings.Meter.Gauge("config_proof_age_ms", float64(age.Milliseconds()))
 	}
 }
+
+// setConfigTime tells the engine as of when the configuration is known, if there is
+// a proof. The uptime is read after now, so a freeze in between makes the
+// configuration look older than it is.
+func (c *Core) setConfigTime(now time.Time) {
+	if age, ok := c.ProofAge(); ok {
+		c.engine.SetConfigTime(now.Add(-age))
+	}
+}
