internal/state/sched: keep images apart that slow each other down

Step.Image was stored and not used.

Candidates are never removed, so that nothing waits.

Change: reports and ends of runs feed the pairs; a candidate's rank rises by the expected slowdown in both directions, at most by 1.5; the search for candidates goes on past those that fit, over at most 128 further workers per step and 1,024 per pass; queries count a disturbed worker's room by half, but not for gangs. If the pairs name one image's filling tasks as the cause, only these are slowed down in the first two steps. The estimates record holds the pairs, absent without images. Leader's log line "leader: interference" with the top 5, gauge interference_pairs, counter interference_tasks_moved.

The new tests fail without interference in the rank, without the extended search, without either direction of it, and if nothing is restored.

Not changed: an image's effect on itself and gangs are not learned.

--- a/internal/coordination/core/stats.go
+++ b/internal/coordination/core/stats.go
@@ -88,6 +88,7 @@
 	for _, sample := range a.Samples {
 		c.settings.Meter.Observe(latencyMetrics[sample.Latency], "", sample.Queue, sample.Took)
 	}
+	c.reportInterference(s, a)
 	for i, queue := range reportedQueues(s.Waiting, a.Queues, waitingBefore) {
 		w, qa := s.Waiting[queue], a.Queues[queue]
 		if w == nil {
@@ -103,6 +104,24 @@
 	}
 }
 
+// reportInterference logs the images that slow each other down most, if any are
+// known, and updates the metrics of interference.
+func (c *Core) reportInterference(s sched.Stats, a sched.Activity) {
+	if s.PairsKnown == 0 {
+		return
+	}
+	c.settings.Meter.Gauge("interference_pairs", float64(s.PairsKnown))
+	c.settings.Meter.Count("interference_tasks_moved", "instance", c.settings.Instance, int64(a.TasksMoved))
+	if len(s.Pairs) == 0 {
+		return
+	}
+	top := zerolog.Arr()
+	for _, p := range s.Pairs {
+		top.Dict(zerolog.Dict().Str("image", p.Victim.Image).Str("beside", p.Other).Bool("batch", p.Victim.Batch).Float64("coefficient", roundShare(p.Coefficient)).Int("count", p.Count))
+	}
+	c.settings.Logger.Info().Array("top", top).Int("known", s.PairsKnown).Int("moved", a.TasksMoved).Int64("term", c.election.term).Msg("leader: interference")
+}
+
 // busyShare returns the share of the time of n clients that queries take.
 func busyShare(queries, elapsed time.Duration, n int) float64 {
 	if n == 0 || elapsed <= 0 {
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -35,7 +35,7 @@
 	MaxPerWorker    int       `json:"max-per-worker,omitempty"` // tasks of the step; 0 means unlimited
 	Speculative     bool      `json:"copies,omitempty"`         // duplicates of a task may run in parallel; not used yet
 	LongRunning     bool      `json:"lasting,omitempty"`        // tasks run until the job is cancelled
-	Image           string    `json:"image,omitempty"`          // not used yet
+	Image           string    `json:"image,omitempty"`          // what a task runs; images that slow each other down are kept apart where there is room
 	LatencyTargetMs int64     `json:"tail-ms,omitempty"`        // response time objective of a long-running task
 	Filling         bool      `json:"filling,omitempty"`        // tasks run on spare CPU
 	MaxAway         int       `json:"max-away,omitempty"`       // not used yet
--- a/internal/state/sched/activity.go
+++ b/internal/state/sched/activity.go
@@ -82,6 +82,9 @@
 	// the queries sent.
 	QuickQueryTime time.Duration
 	LongQueryTime  time.Duration
+	// TasksMoved is the number of tasks that were placed on another worker than
+	// without regard to interference.
+	TasksMoved int
 }
 
 // TakeActivity returns the activity since the last call and clears it.
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -16,13 +16,14 @@
 // candidate is a worker under consideration in one scheduling pass. Its fields
 // that depend on a step are those of the step that was evaluated last.
 type candidate struct {
-	worker     *worker
-	free       work.Size // capacity that no run uses
-	rank       float64   // for any step; the lower the better
-	available  work.Size // free, less what is reserved for other steps
-	stepRank   float64   // rank for the step: rank plus the penalty for remote data
-	fit        int       // number of the step's tasks that fit without preemption
-	preemptFit int       // number of further tasks that fit with preemption
+	worker       *worker
+	free         work.Size // capacity that no run uses
+	rank         float64   // for any step; the lower the better
+	available    work.Size // free, less what is reserved for other steps
+	stepRank     float64   // rank for the step: rank plus the penalty for remote data, plus interference
+	interference float64   // expected slowdown of and by a task of the step
+	fit          int       // number of the step's tasks that fit without preemption
+	preemptFit   int       // number of further tasks that fit with preemption
 }
 
 // schedulingPass is the state of one pass over the pending steps.
@@ -33,6 +34,8 @@
 	stepsEvaluated int                    // steps for which workers were evaluated
 	roomDemand     roomDemand             // of gangs
 	mostlyIdle     bool                   // less than half of the usable workers' CPU is used
+	compared       int                    // workers evaluated beyond those that fit a step's tasks, see comparison
+	comparedLimit  int                    // bound on compared while a step's search is beyond these, else 0
 	searchPause    time.Duration          // pause of a step after a search for workers to query that found none
 }
 
@@ -97,6 +100,8 @@
 	if st.DataRack != "" && c.worker.Rack != st.DataRack {
 		c.stepRank += remoteDataPenalty
 	}
+	c.interference = e.interference(p.now, st, c.worker)
+	c.stepRank += c.interference
 	return maxFit > 0
 }
 
@@ -126,19 +131,20 @@
 
 // findCandidates returns candidates for a step that needs no tickets, best
 // first. If racks do not matter to the step, it stops at as many as fit all
-// tasks. Otherwise, or if the tasks do not all fit, candidates on which none
-// fits now follow.
+// tasks, or at some more if tasks on them would be slowed down. Otherwise, or if
+// the tasks do not all fit, candidates on which none fits now follow.
 func (e *Engine) findCandidates(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, need int) []*candidate {
 	var out []*candidate
-	fit := 0
+	found := comparison{}
 	full := e.visitCandidates(p, ps, st, policy, func(c *candidate) bool {
 		out = append(out, c)
 		// Workers are visited in order of rank, which is the order for the step too
-		// unless racks matter to it; then all candidates have to be compared.
-		fit += c.fit
-		return fit < need || st.DataRack != "" || st.PreferOneRack
+		// unless interference or racks matter to it; if racks do, all candidates have
+		// to be compared.
+		return st.DataRack != "" || st.PreferOneRack || found.add(p, c, need)
 	})
-	if fit >= need && st.DataRack == "" && !st.PreferOneRack {
+	p.comparedLimit = 0
+	if found.undisturbed == found.fit && found.fit >= need && st.DataRack == "" && !st.PreferOneRack {
 		return out
 	}
 	return sortCandidates(append(out, full...), ps, st)
@@ -150,6 +156,10 @@
 func (e *Engine) visitCandidates(p *schedulingPass, ps pendingStep, st *flow.Step, policy flow.Policy, visit func(c *candidate) bool) (full []*candidate) {
 	stopped := false
 	visitWorker := func(w *worker) bool {
+		if !p.mayCompare() {
+			stopped = true
+			return false
+		}
 		c := p.candidate(w)
 		switch {
 		case c == nil || !e.evaluate(p, ps, st, policy, c):
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/pairs"
 )
 
 // TaskID identifies a task of a job.
@@ -94,6 +95,7 @@
 	nextTick             time.Time
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]partialReservation // by step
+	pairs                *pairs.Table                  // how images slow each other down
 	nextInTurn           int                           // among the pending steps evaluated in turn, the one with which the next pass begins
 }
 
@@ -115,6 +117,7 @@
 // jobs, workers or configuration yet.
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
+		pairs:  pairs.New(),
 		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
 		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, scoredRuns: map[string][]*run{}, partialReservations: map[TaskID]partialReservation{},
 	}
--- a/internal/state/sched/estimates.go
+++ b/internal/state/sched/estimates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/pairs"
 )
 
 // Weights, bounds and initial values of the estimates.
@@ -26,6 +27,7 @@
 type Estimates struct {
 	Workers map[string]WorkerEstimates `json:"workers"`
 	Queues  map[string]QueueEstimates  `json:"queues"`
+	Pairs   *pairs.State               `json:"pairs,omitempty"` // absent without images in jobs
 }
 
 // WorkerEstimates holds the estimates of one incarnation of a worker.
@@ -66,7 +68,7 @@
 
 // Estimates returns the present estimates, rounded to hundredths.
 func (e *Engine) Estimates() Estimates {
-	estimates := Estimates{Workers: map[string]WorkerEstimates{}, Queues: map[string]QueueEstimates{}}
+	estimates := Estimates{Workers: map[string]WorkerEstimates{}, Queues: map[string]QueueEstimates{}, Pairs: e.pairs.State()}
 	for _, w := range e.workersByID {
 		if w.Samples > 0 && w.listed {
 			estimates.Workers[w.ID] = WorkerEstimates{MeasuredIncarnation: w.lastIncarnation, LogSlowdown: roundToHundredths(w.LogSlowdown), Variance: roundToHundredths(w.Variance), Samples: w.Samples}
@@ -85,6 +87,7 @@
 // engine retains prior.Workers and deletes entries from it.
 func (e *Engine) RestoreEstimates(prior Estimates) {
 	e.priorEstimates = prior.Workers
+	e.pairs.Restore(prior.Pairs)
 	for name, q := range prior.Queues {
 		e.queueEstimates[name] = &q
 	}
@@ -121,6 +124,7 @@
 	if st.Gang {
 		return // the slowest member determines the run time of all
 	}
+	e.observeRunTime(now, r, st, relative)
 	sp := r.job.stepPlacement(r.id.Round, r.id.Step)
 	sp.runTimes = append(sp.runTimes, runTime{worker: r.worker, incarnation: r.worker.lastIncarnation, logRatio: relative})
 }
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -320,7 +320,7 @@
 		if !sp.answered(c.worker) {
 			if fit := fitBesideSoftReservations(p, ps, c); fit > 0 {
 				names = append(names, c.worker.ID)
-				expectedFit += float64(fit) * share
+				expectedFit += float64(fit) * share * c.queryWeight(st)
 			} else {
 				softReserved = append(softReserved, c)
 			}
@@ -408,6 +408,7 @@
 		}
 	}
 	size := taskSize(st)
+	e.countMoved(candidates, len(ps.idleTasks))
 	placed := 0
 	for _, c := range candidates {
 		for ; c.fit > 0 && placed < len(ps.idleTasks); placed++ {
--- a/internal/state/sched/report.go
+++ b/internal/state/sched/report.go
@@ -113,6 +113,7 @@
 		e.index.update(w)
 	}
 	listed := e.applyRunning(now, w, report.Running)
+	e.observeReport(now, w, report.Running)
 	e.throttleFillingTasks(now, w, report.Running)
 	e.applyEnds(now, w, report.Ended)
 	if report.complete() {
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/pairs"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -52,10 +53,13 @@
 	ticket        string
 	ticketExpires time.Time
 
-	workerAddr    string // where the worker had answered when the run was placed, empty if it is not known
-	incarnation   int64  // of the worker when the start was first sent
-	crashScore    int    // what its crash has added to that of the task
-	crashRecorded bool   // a crash of the worker under the run has been recorded
+	workerAddr  string      // where the worker had answered when the run was placed, empty if it is not known
+	incarnation int64       // of the worker when the start was first sent
+	crashScore  int         // what its crash has added to that of the task
+	cpuInUse    float64     // in thousandths of a core, of a run whose step has an image
+	beside      []pairs.Use // images beside the run when it started, nil if its run time is not observed
+
+	crashRecorded bool // a crash of the worker under the run has been recorded
 }
 
 func (e *Engine) newRun(now time.Time, j *job, id TaskID, t *flow.Task, w *worker) *run {
@@ -64,6 +68,7 @@
 	r := &run{id: id, job: j, task: t, number: t.Run, worker: w, size: size, workerAddr: t.WorkerAddr, placedAt: now, speedPercent: fullSpeedPercent}
 	w.runs[id] = r
 	w.used = w.used.Add(size)
+	w.addImage(r)
 	if st.LongRunning {
 		w.lasting = w.lasting.Add(size)
 	}
@@ -243,6 +248,7 @@
 func (e *Engine) confirmRun(now time.Time, r *run) {
 	if !r.confirmed {
 		r.confirmed, r.startedAt = true, now
+		r.noteImagesBeside()
 		if !r.adopted {
 			e.recordLatency(r.job.Queue, LatencyConfirmation, now.Sub(r.placedAt))
 		}
@@ -322,6 +328,7 @@
 func (e *Engine) removeRun(r *run) {
 	delete(r.worker.runs, r.id)
 	r.worker.used = r.worker.used.Sub(r.size)
+	r.worker.images.remove(r)
 	if r.job.Steps[r.id.Step].LongRunning {
 		r.worker.lasting = r.worker.lasting.Sub(r.size)
 	}
--- a/internal/state/sched/sim_test.go
+++ b/internal/state/sched/sim_test.go
@@ -51,8 +51,9 @@
 	laterStarts  map[TaskID]int    // those after the third crash
 	crashHandler func(id TaskID)   // called at each crash, nil if not needed
 
-	stopTime time.Duration      // how long a stop takes at a worker
-	stepWork map[string]jobWork // of jobs whose estimates are wrong, by job ID
+	stopTime time.Duration                                                      // how long a stop takes at a worker
+	stepWork map[string]jobWork                                                 // of jobs whose estimates are wrong, by job ID
+	stretch  func(w *simWorker, r *simRun, runTime time.Duration) time.Duration // changes run times, nil if not needed
 
 	// With timedQueries each client answers one query at a time, after the
 	// computed duration of the query.
--- a/internal/state/sched/simworker_test.go
+++ b/internal/state/sched/simworker_test.go
@@ -114,6 +114,9 @@
 	if w.tasksHang || step.LongRunning {
 		return AnswerOK
 	}
+	if s.stretch != nil {
+		runTime = s.stretch(w, r, runTime)
+	}
 	s.after(s.untilEnd(w, runTime), func() { w.endRun(r) })
 	return AnswerOK
 }
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/pairs"
+)
 
 // Stats are figures of the leader's state, for logs and metrics.
 type Stats struct {
@@ -21,12 +25,14 @@
 	Workers          int // listed workers
 	Usable           int // workers on which tasks may start
 	CPU              CPUShares
-	ReservingSteps   int // steps with unexpired reservations
-	QueriesInFlight  int // queries to the placement service that are not answered yet
-	Clients          int // healthy placement clients
-	LongQueryClients int // those of them that get long queries
-	UnansweredStarts int // runs whose start was not answered
-	CrashedRuns      int // runs of this term under which a worker has certainly crashed
+	ReservingSteps   int          // steps with unexpired reservations
+	QueriesInFlight  int          // queries to the placement service that are not answered yet
+	Clients          int          // healthy placement clients
+	LongQueryClients int          // those of them that get long queries
+	UnansweredStarts int          // runs whose start was not answered
+	Pairs            []pairs.Pair // the pairs of images with the largest known interference
+	PairsKnown       int          // pairs of images of which observations are held
+	CrashedRuns      int          // runs of this term under which a worker has certainly crashed
 }
 
 // CPUShares are shares of the usable workers' CPU.
@@ -41,7 +47,7 @@
 
 // Stats returns the figures as of now.
 func (e *Engine) Stats(now time.Time) Stats {
-	s := Stats{Jobs: len(e.jobs), LiveJobs: len(e.liveJobs), CrashedRuns: e.crashedRuns}
+	s := Stats{Jobs: len(e.jobs), LiveJobs: len(e.liveJobs), CrashedRuns: e.crashedRuns, Pairs: e.pairs.Top(now, topPairs), PairsKnown: e.pairs.Len()}
 	pending := e.pendingSteps(now)
 	s.PendingSteps = len(pending)
 	for _, ps := range pending {
--- a/internal/state/sched/throttle.go
+++ b/internal/state/sched/throttle.go
@@ -72,6 +72,7 @@
 // worker reports as running.
 func (e *Engine) throttleFillingTasks(now time.Time, w *worker, list []Running) {
 	var fillingRuns []*run
+	var victim *run // with the worst load
 	worstLoad := 0.0
 	for _, entry := range list {
 		r := w.runs[entry.Task]
@@ -83,7 +84,9 @@
 		case st.Filling:
 			fillingRuns = append(fillingRuns, r)
 		case st.LongRunning && st.LatencyTargetMs > 0:
-			worstLoad = max(worstLoad, entry.Load/float64(st.LatencyTargetMs))
+			if load := entry.Load / float64(st.LatencyTargetMs); load > worstLoad {
+				worstLoad, victim = load, r
+			}
 		}
 	}
 	if len(fillingRuns) == 0 && w.throttle.reductionPercent == 0 {
@@ -92,13 +95,14 @@
 	before := w.throttle.speedPercent()
 	w.throttle.adjust(now, worstLoad)
 	if percent := w.throttle.speedPercent(); percent != before {
+		e.updateThrottleCause(now, w, before, victim, fillingRuns)
 		e.addEvent("pace", TaskID{}, 0, w.ID, throttleDetail(percent), 0)
 	}
 	for _, r := range fillingRuns {
-		if r.speedPercent != w.throttle.speedPercent() && r.ordersInFlight == 0 && r.stopReason == "" {
+		if speed := w.fillingSpeed(r); r.speedPercent != speed && r.ordersInFlight == 0 && r.stopReason == "" {
 			r.ordersInFlight++
 			e.output.Orders = append(e.output.Orders, Order{
-				Kind: OrderThrottle, Worker: w.ID, Addr: w.Addr, Task: r.id, Run: r.number, SpeedPercent: w.throttle.speedPercent(),
+				Kind: OrderThrottle, Worker: w.ID, Addr: w.Addr, Task: r.id, Run: r.number, SpeedPercent: speed,
 			})
 		}
 	}
--- a/internal/state/sched/worker.go
+++ b/internal/state/sched/worker.go
@@ -86,8 +86,9 @@
 	lastDone       time.Time // when a run last ended as done
 	nextStallCheck time.Time // next check for stalled tasks
 	throttle       throttle
-	nextCheck      time.Time // next check of any kind
-	checkIndex     int       // its index in the engine's checkQueue
+	nextCheck      time.Time     // next check of any kind
+	checkIndex     int           // its index in the engine's checkQueue
+	images         *workerImages // nil if no run whose step has an image was ever placed on it
 }
 
 // SetWorkers updates the known workers from the newest list. A worker that
