--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/pairs"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
@@ -102,6 +103,7 @@
 	nextCleanup          time.Time
 	partialReservations  map[TaskID]partialReservation // by step
 	load                 loadSums                      // for summaries of the load
+	pairs                *pairs.Table                  // how images slow each other down
 	nextInTurn           int                           // among the pending steps evaluated in turn, the one with which the next pass begins
 	accounts             map[string]*account           // by customer
 	totalWeight          float64                       // of the customers in the configuration
@@ -129,6 +131,7 @@
 // jobs, workers or configuration yet.
 func New(p Params, now time.Time) *Engine {
 	return &Engine{
+		pairs:  pairs.New(),
 		params: p, startedAt: now, index: newWorkerIndex(), jobs: map[string]*job{}, workers: map[string]*worker{}, clients: map[string]*placementClient{}, demand: clientDemand{deniedAt: map[string]time.Time{}},
 		liveJobs: map[*job]bool{}, pendingJobs: map[*job]bool{}, jobsWithFutureRounds: map[*job]bool{}, unsavedJobs: map[*job]bool{}, queueEstimates: map[string]*QueueEstimates{}, unsavedAcks: map[*worker]ack{}, scoredRuns: map[string][]*run{}, partialReservations: map[TaskID]partialReservation{},
 		load: newLoadSums(), accounts: map[string]*account{},
