internal/state/check: check a configuration before it is written

A wrong configuration was noticed only after it had been written to the store, from log lines of instances or calls that failed.

Ruled out: findings from DecodeConfig alone, which limits and rounds numbers and drops what instances don't use; a decoder with DisallowUnknownFields alone, which reports only the first unknown field and takes names in another case; target_latency_ms against timeout_ms, as no instance uses timeout_ms; a limit of body size by the calls between instances, as a forwarded job is encoded anew and is small; full hashes of keys, which would confirm a guessed key.

Change: tamaracklink flow check FILE prints sorted findings (error, warning, change), as JSON with -json; exit status 0 without errors, 1 with errors or if the instance does not answer, 2 for wrong usage. With -addr the configuration in force is read from GET /flows-config, which has 8 digits of the hash of each key. flow.Config keeps the services for this; those that can't be decoded are dropped, so that no configuration that was usable becomes unusable.

Differences in timeout_ms and in the limits other than max_body_bytes are not shown, as instances do not keep them.

--- a/internal/command/oper/flow.go
+++ b/internal/command/oper/flow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,19 +16,19 @@
 )
 
 // flowUsage lists the actions of the flow command.
-const flowUsage = "flow takes one of: submit (a job as JSON on standard input), show ID, cancel ID, pending QUEUE, site (the state of the instance)"
+const flowUsage = "flow takes one of: submit (a job as JSON on standard input), show ID, cancel ID, pending QUEUE, site (the state of the instance), check FILE (a configuration before it is written to the store; compared with the one in force if -addr is given)"
 
 // runFlow performs one action on jobs of steps at an instance that was started
 // by the site command.
 func runFlow(ctx context.Context, args []string, stdio IO) error {
 	c := &call{io: stdio}
-	f := newFlags("flow", "submit, show and cancel jobs of steps; "+flowUsage, stdio)
+	f := newFlags("flow", "submit, show and cancel jobs of steps, check a configuration; "+flowUsage, stdio)
 	bindCallFlags(f, c)
 	if err := parseFlags(f, args, stdio); err != nil {
 		return err
 	}
 	verb, name := f.Arg(0), f.Arg(1)
-	needsName := verb == "show" || verb == "cancel" || verb == "pending"
+	needsName := verb == "show" || verb == "cancel" || verb == "pending" || verb == "check"
 	if needsName != (name != "") || f.NArg() > 2 {
 		return usageError(errors.New(flowUsage))
 	}
@@ -38,6 +39,10 @@
 		return flowJob(ctx, c, http.MethodGet, name)
 	case "cancel":
 		return flowJob(ctx, c, http.MethodDelete, name)
+	case "check":
+		compare := false
+		f.Visit(func(g *flag.Flag) { compare = compare || g.Name == "addr" })
+		return flowCheck(ctx, c, name, compare)
 	case "pending":
 		var v flows.QueueView
 		printed, err := c.do(ctx, http.MethodGet, "/queues/"+url.PathEscape(name), nil, &v)
--- a/internal/command/oper/root.go
+++ b/internal/command/oper/root.go
@@ -46,7 +46,7 @@
 	return []command{
 		{"serve", "run an entry instance, configured by flags", runServe},
 		{"site", "run an instance for jobs of steps on the users' platform, configured by its settings file", runSite},
-		{"flow", "submit, show and cancel jobs of steps at an instance started by site", runFlow},
+		{"flow", "submit, show and cancel jobs of steps at an instance started by site, or check a configuration", runFlow},
 		{"patch", "submit a patch against a numbered version of the configuration", runPatch},
 		{"config", "show a version, the history, or what changed between two versions", runConfig},
 		{"submit", "submit a job", runSubmit},
--- a/internal/command/oper/site_test.go
+++ b/internal/command/oper/site_test.go
@@ -214,12 +214,29 @@
 func checkFlowCommands(t *testing.T, addr string) {
 	t.Helper()
 	spec := `{"id":"own1","queue":"r-plain","policy":{"service":"","priority":0,"max-attempts":0,"advice":{}},"steps":[{"count":2,"size":{"cpu-milli":500,"memory-mib":50,"accelerators":0}}],"repeat":{},"accepted-ms":0}`
+	dir := t.TempDir()
+	file := func(name, data string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(data), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	same := file("same", siteConfig)
+	next := file("next", strings.NewReplacer(`"version":7`, `"version":8`, `"stretch":2}`, `"stretch":3}`).Replace(siteConfig))
 	tests := []struct {
 		args []string
 		in   string
 		code int
 		want string
 	}{
+		{[]string{"flow", "check", same}, "", ExitOK, "no findings"},
+		{[]string{"flow", "-addr", addr, "check", same}, "", ExitFailed, "error    version: is 7, but 7 is in force"},
+		{[]string{"flow", "-addr", addr, "check", next}, "", ExitOK, "change   version: 7 -> 8\nchange   routes[1].stretch (r-plain): 2 -> 3\n"},
+		{[]string{"flow", "-json", "check", file("bad", "{")}, "", ExitFailed, `[{"severity":"error","path":"","text":"`},
+		{[]string{"flow", "-addr", unreachableAddr(t), "check", same}, "", ExitFailed, "read configuration in force"},
+		{[]string{"flow", "check"}, "", ExitUsage, "flow takes one of"},
+		{[]string{"flow", "check", filepath.Join(dir, "none")}, "", ExitUsage, "read configuration"},
 		{[]string{"flow", "-addr", addr, "site"}, "", ExitOK, "configuration 7 with 2 queues"},
 		{[]string{"flow", "-addr", addr, "submit"}, spec, ExitOK, "accepted: job own1 is queued"},
 		{[]string{"flow", "-addr", addr, "submit"}, strings.Replace(spec, "r-plain", "none", 1), ExitRefused, `allowed: a queue of the configuration`},
--- a/internal/state/flow/policy.go
+++ b/internal/state/flow/policy.go
@@ -25,6 +25,12 @@
 	MaxRunning work.Size
 }
 
+// Service is a kind of workers that the operators list. Queues name it.
+type Service struct {
+	Name       string
+	ChecksRoom bool // its workers refuse what does not fit
+}
+
 // Config is one version of the operators' configuration.
 type Config struct {
 	Version      int64
@@ -34,6 +40,7 @@
 	// key of a customer.
 	CustomersOn bool
 	Customers   []Customer
+	Services    []Service // only shown to operators; queues may name others
 }
 
 // FindQueue returns the queue for a request: among the queues of the host, the one
--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -13,6 +13,7 @@
 
 	"github.com/tamaracklink/tamaracklink/internal/coordination/core"
 	"github.com/tamaracklink/tamaracklink/internal/state/admit"
+	"github.com/tamaracklink/tamaracklink/internal/state/check"
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
 	"github.com/tamaracklink/tamaracklink/internal/state/keys"
@@ -109,6 +110,7 @@
 	m.DELETE("/flows/:id", s.cancelJob)
 	m.GET("/queues/:name", s.showQueue)
 	m.GET("/site", s.showInstance)
+	m.GET("/flows-config", s.showConfig)
 }
 
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -226,6 +228,17 @@
 	writeJSON(w, http.StatusOK, view)
 }
 
+// showConfig answers with the configuration in force, as a check.Config. It has
+// hashes in place of the API keys.
+func (s *Server) showConfig(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	cfg := s.Core.Config()
+	if cfg == nil {
+		s.writeError(w, core.ErrNotExecuted)
+		return
+	}
+	writeJSON(w, http.StatusOK, check.InForce(cfg))
+}
+
 // writeError answers a call with the error reply and the status for err. Any
 // error other than an unknown job or a call that was not executed means that
 // the outcome of the call is unknown.
