internal/state/sched: a step with an unknown wait keeps no placement clients

A step that is not known since when it is startable (tasks of a run that a new leader has adopted and that has ended without a result) counted as waiting for 0 s, so that it kept them for as long as it could not run: work beyond the weight never sent a long query. Ruled out: noting such steps as startable at the end of the run, which would change the measured latencies. Change: a step with an unknown wait does not count.

--- /dev/null
+++ b/internal/state/sched/customer_queries_test.go
@@ -0,0 +1,53 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+)
+
+// longQueryEngine returns a customerEngine whose queue "urgent" needs tickets that
+// take long queries, with clients that are all healthy.
+func longQueryEngine(t *testing.T, p Params, quota int64) *Engine {
+	e := customerEngine(t, p, quota)
+	queues := append([]flow.Queue{}, e.config.Queues...)
+	queues[0].Policy.PlacementService = flow.PlacementService{CallMs: 300, PerWorkerMs: 4, TicketValidMs: 2000}
+	e.SetConfig(withCustomers(queues, quota))
+	names := []string{"i0", "i1", "i2", "i3", "i4", "i5", "i6", "i7"}
+	e.SetPlacementClients("i0", names)
+	for _, n := range names {
+		e.HandleProbeResult(testTime(0), n, true)
+	}
+	return e
+}
+
+// queriedJobs makes a pass and returns the jobs that it queries for.
+func (e *Engine) queriedJobs(ms int) map[string]bool {
+	e.placed(ms)
+	jobs := map[string]bool{}
+	for _, q := range e.TakeOutput().Queries {
+		jobs[q.Job] = true
+	}
+	return jobs
+}
+
+// TestUnknownWaitIsNoQueryDemand guards against a step that keeps the placement
+// clients from work beyond the weight for ever: it is not known since when the
+// tasks of a run that a new leader has adopted are startable.
+func TestUnknownWaitIsNoQueryDemand(t *testing.T) {
+	is := is.New(t)
+	e := longQueryEngine(t, Params{ShareWindow: time.Second}, 0)
+	spec := newJobSpec("old", "urgent", taskStep(1, 1000, 400))
+	spec.Customer, spec.Steps[0].Label = "a", "none"
+	p := flow.Progress{NextRound: 1, Rounds: []*flow.Round{flow.NewRound(spec, 0)}}
+	p.Rounds[0].Steps[0][0] = flow.Task{Phase: flow.Placed, Run: 1, Worker: "w00"}
+	e.AddJob(testTime(0), &flow.Job{Spec: spec, Progress: p})
+	e.endWithoutResult(testTime(0), e.jobs["old"].sortedRuns()[0], "lost")
+	e.addCustomerJob("b0", "b", "urgent", taskStep(1, 1000, 400))
+	e.addCustomerJob("b1", "b", "urgent", taskStep(1, 1000, 400))
+	is.True(e.jobs["b1"].beyond)
+	is.True(e.queriedJobs(5000)["b1"])
+}
--- a/internal/state/sched/order.go
+++ b/internal/state/sched/order.go
@@ -86,12 +86,15 @@
 
 // findQueryDemand reports whether one of the steps within its customer's weight
 // needs a long query and has none in flight, while one beyond may compete for it. A
-// surge otherwise takes the clients from the others for the time of a query.
+// surge otherwise takes the clients from the others for the time of a query. Steps
+// that have been startable for an unknown time don't count: they may wait for longer
+// than maxQueryDemandAge.
 func (e *Engine) findQueryDemand(now time.Time, pending []pendingStep) bool {
 	demand, beyond := false, false
 	for _, ps := range pending {
 		beyond = beyond || ps.beyond
-		demand = demand || !ps.beyond && ps.lateness < 2 && ps.waited(now) < maxQueryDemandAge && e.needsLongQueries(ps) && !e.queried(ps)
+		since, known := ps.startableSince()
+		demand = demand || !ps.beyond && ps.lateness < 2 && known && now.Sub(since) < maxQueryDemandAge && e.needsLongQueries(ps) && !e.queried(ps)
 		if demand && beyond {
 			return true
 		}
