internal/state/sched: a customer at its quota keeps no placement clients

Cause: steps that their customer's quota did not let query counted as waiting to send a query. A customer at its quota with new steps at least every 3 s kept all work beyond the weight of the other customers from long queries, although clients were free. Ruled out: the quota without the queries in flight. Each run that ends leaves room for one query, so that nearly all passes would still find demand. Change: a step counts only if the quota allows it beside its customer's steps with a query in flight. Nothing is computed while no step is beyond its weight. A step with tickets that waits for room still counts for 3 s.

--- a/internal/state/sched/customer_queries_test.go
+++ b/internal/state/sched/customer_queries_test.go
@@ -34,6 +34,25 @@
 	return jobs
 }
 
+// TestStepAtQuotaIsNoQueryDemand guards against a customer at its quota that keeps
+// the placement clients from work beyond the weight of the others: a step that its
+// quota does not let query is not one that waits to send a query.
+func TestStepAtQuotaIsNoQueryDemand(t *testing.T) {
+	for _, used := range []int64{4000, 3000} { // with 3000, one of the two steps may query
+		is := is.New(t)
+		e := longQueryEngine(t, Params{ShareWindow: time.Second}, 4000)
+		e.addCustomerJob("run", "a", "q", taskStep(1, used, 400))
+		is.Equal(e.placed(0), map[string]int{"run": 1})
+		e.addCustomerJobAt(2000, "a1", "a", "urgent", taskStep(1, 1000, 400))
+		e.addCustomerJobAt(4000, "b0", "b", "urgent", taskStep(1, 1000, 400))
+		e.addCustomerJobAt(4000, "b1", "b", "urgent", taskStep(1, 1000, 400))
+		is.True(e.jobs["b1"].beyond)
+		e.addCustomerJobAt(4000, "a2", "a", "urgent", taskStep(1, 1000, 400))
+		is.True(!e.queriedJobs(4000)["b1"]) // b0 goes first
+		is.True(e.queriedJobs(4001)["b1"])
+	}
+}
+
 // TestUnknownWaitIsNoQueryDemand guards against a step that keeps the placement
 // clients from work beyond the weight for ever: it is not known since when the
 // tasks of a run that a new leader has adopted are startable.
--- a/internal/state/sched/order.go
+++ b/internal/state/sched/order.go
@@ -2,9 +2,11 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/share"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // shareOrder yields pending steps that are sorted by pendingStep.before so that,
@@ -87,15 +89,29 @@
 // findQueryDemand reports whether one of the steps within its customer's weight
 // needs a long query and has none in flight, while one beyond may compete for it. A
 // surge otherwise takes the clients from the others for the time of a query. Steps
-// that have been startable for an unknown time don't count: they may wait for longer
-// than maxQueryDemandAge.
+// that their customer's quota does not let query, beside those with a query in
+// flight, don't count, nor those that have been startable for an unknown time: they
+// may wait for longer than maxQueryDemandAge.
 func (e *Engine) findQueryDemand(now time.Time, pending []pendingStep) bool {
-	demand, beyond := false, false
-	for _, ps := range pending {
-		beyond = beyond || ps.beyond
+	beyond := func(ps pendingStep) bool { return ps.beyond }
+	if !slices.ContainsFunc(pending, beyond) {
+		return false
+	}
+	claimed := map[*account]work.Size{}
+	for i := range pending {
+		if ps := &pending[i]; e.queried(*ps) {
+			a := ps.job.account
+			n := e.quotaFit(now, *ps, len(ps.idleTasks), claimed[a])
+			claimed[a] = claimed[a].Add(ps.job.Steps[ps.step].Size.Times(int64(n)))
+		}
+	}
+	for i := range pending {
+		ps := &pending[i]
 		since, known := ps.startableSince()
-		demand = demand || !ps.beyond && ps.lateness < 2 && known && now.Sub(since) < maxQueryDemandAge && e.needsLongQueries(ps) && !e.queried(ps)
-		if demand && beyond {
+		if ps.beyond || ps.lateness >= 2 || !known || now.Sub(since) >= maxQueryDemandAge || !e.needsLongQueries(*ps) || e.queried(*ps) {
+			continue
+		}
+		if e.quotaFit(now, *ps, len(ps.idleTasks), claimed[ps.job.account]) > 0 {
 			return true
 		}
 	}
