internal/state/sched: a gang holds its quota in passes that don't evaluate it

Cause: a gang held its customer's quota only in passes that evaluated it. While its first query was in flight, and for 40 ms after each evaluation without a reservation, smaller steps of the customer used the quota; the gang then waited for their ends, and its tickets could expire meanwhile. Ruled out: holding for each gang that is not evaluated. One without a free client or after a failed query has no start in prospect. Change: a gang also holds the quota while a query about it is in flight, capacity is reserved for it, or its evaluation pauses.

--- a/internal/state/sched/customer_queries_test.go
+++ b/internal/state/sched/customer_queries_test.go
@@ -70,3 +70,41 @@
 	is.True(e.jobs["b1"].beyond)
 	is.True(e.queriedJobs(5000)["b1"])
 }
+
+// TestGangKeepsItsQuotaDuringQuery guards against a gang that waits for ever
+// because smaller steps use its customer's quota while its query is in flight.
+func TestGangKeepsItsQuotaDuringQuery(t *testing.T) {
+	is := is.New(t)
+	e := longQueryEngine(t, Params{}, 8000)
+	e.addCustomerJob("g", "a", "urgent", gangStep(4, 2000, 400))
+	e.addCustomerJob("s", "a", "q", taskStep(4, 2000, 400))
+	is.Equal(e.placed(0), map[string]int{})
+	queries := e.TakeOutput().Queries
+	is.Equal(len(queries), 1)
+	is.Equal(e.placed(10), map[string]int{})
+	is.Equal(e.placed(300), map[string]int{})
+	tickets := map[string]string{}
+	for _, w := range queries[0].Workers {
+		tickets[w] = "t"
+	}
+	e.HandleQueryResult(testTime(320), queries[0], tickets, 2*time.Second, true)
+	is.Equal(e.placed(330), map[string]int{"g": 4})
+}
+
+// TestGangKeepsItsQuotaBetweenEvaluations guards against a gang that waits for ever
+// because smaller steps use its customer's quota in the passes that don't evaluate
+// it, while it has tickets and another gang has the partial reservation.
+func TestGangKeepsItsQuotaBetweenEvaluations(t *testing.T) {
+	is := is.New(t)
+	e := longQueryEngine(t, Params{}, 8000)
+	e.addCustomerJob("g", "a", "urgent", gangStep(4, 2000, 400))
+	is.Equal(e.placed(0), map[string]int{})
+	query := e.TakeOutput().Queries[0]
+	e.AddJob(testTime(0), &flow.Job{Spec: newJobSpec("full", "q", taskStep(2, 31000, 400))})
+	is.Equal(e.placed(300), map[string]int{"full": 2})
+	e.HandleQueryResult(testTime(320), query, map[string]string{"w00": "t", "w01": "t"}, 2*time.Second, true)
+	e.partialReservations[TaskID{Job: "other"}] = partialReservation{expires: testTime(1000)}
+	e.addCustomerJob("s", "a", "q", taskStep(1, 1000, 400))
+	is.Equal(e.placed(330), map[string]int{})
+	is.Equal(e.placed(335), map[string]int{})
+}
--- a/internal/state/sched/customers.go
+++ b/internal/state/sched/customers.go
@@ -196,8 +196,14 @@
 		}
 		e.placeStep(p, ps)
 	}
-	n -= a.runs - runsBefore
-	if n > 0 && !(evaluated && e.holdQuota(p, ps, n)) && e.expectsRoom(ps) {
+	if n -= a.runs - runsBefore; n == 0 {
+		return
+	}
+	expectsRoom := e.expectsRoom(ps)
+	if (evaluated || expectsRoom || e.pausesEvaluation(p.now, ps)) && e.holdQuota(p, ps, n) {
+		return
+	}
+	if expectsRoom {
 		a.claimed = a.claimed.Add(st.Size.Times(int64(e.claimable(p, ps, n))))
 	}
 }
@@ -232,6 +238,13 @@
 	return sp != nil && len(sp.queriedBy)+len(sp.reservedOn) > 0
 }
 
+// pausesEvaluation reports whether the step was evaluated shortly before and is
+// not evaluated again until the pause ends.
+func (e *Engine) pausesEvaluation(now time.Time, ps pendingStep) bool {
+	sp := ps.job.placements[ps.round.Number][ps.step]
+	return sp != nil && now.Before(sp.nextEvaluation)
+}
+
 // queried reports whether a query about the step is in flight.
 func (e *Engine) queried(ps pendingStep) bool {
 	sp := ps.job.placements[ps.round.Number][ps.step]
