--- a/internal/state/share/share_test.go
+++ b/internal/state/share/share_test.go
@@ -48,3 +48,26 @@
 	is.Equal(taken(10_000, 100), 0)    // the clock before was an hour fast
 	is.Equal(taken(12_000, 100), 4)    // it does not stop the refill
 }
+
+// TestClocksThatDifferRefillNoMore guards against a customer that is never beyond
+// its weight because jobs from two instances take turns whose clocks differ by more
+// than the window.
+func TestClocksThatDifferRefillNoMore(t *testing.T) {
+	for _, skewMs := range []int64{-3000, 3000, 3600_000} {
+		var b Bucket
+		within := 0
+		for i := range int64(100) { // 10 jobs a second
+			atMs := 1_700_000_000_000 + 100*i
+			if i%2 == 1 {
+				atMs += skewMs
+			}
+			if b.Take(atMs, 1, 2) {
+				within++
+			}
+		}
+		// The depth at first and for the larger time, and 10 s of refill by each clock.
+		if within < 10 || within > 24 {
+			t.Errorf("skew of %d ms: %d of 100 jobs in 10 s are within 1 a second; want 10 to 24", skewMs, within)
+		}
+	}
+}
