internal/transport/guard: listeners of one guard close each other's connections

The ports for readiness and metrics share a guard and its limit of connections, but each listener knew only its own connections. If the connection to close was one of the other listener, it was taken out of the lists of Conns and stayed open until its timeout, up to 75 s, and its next request was dropped. So the limit did not hold.

Two guards with half of the limit each were ruled out, since the design has one limit for probes. The guard now holds the connections of all its listeners, and its lock covers the choice and the entry of a new connection, which another listener may choose at once.

TestExecutedRequestsKeepTheirConnections read the count at once after the client had seen the end of its connection, which precedes the removal from the count.

--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -52,6 +52,17 @@
 	return c
 }
 
+// waitForConns waits until at most limit connections are open. A client may see the
+// end of its connection just before that no longer counts.
+func waitForConns(t *testing.T, g *Guard, limit int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); g.Conns.Open() > limit; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want at most %d", g.Conns.Open(), limit)
+		}
+	}
+}
+
 // TestBodiesAreLimited guards against bodies beyond the limits that are held, and
 // against answers from which a client can't tell that its call has not run.
 func TestBodiesAreLimited(t *testing.T) {
@@ -130,13 +141,39 @@
 		_, err := c.Read(make([]byte, 1))
 		is.True(err != nil) // closed
 	}
-	is.True(g.Conns.Open() <= 2)
+	waitForConns(t, g, 2)
 	close(goOn)
 	resp, err := http.ReadResponse(bufio.NewReader(executed), nil)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
 
+// TestListenersShareLimit guards against connections beyond the limit of a guard
+// with several listeners, as for readiness and metrics: the one to close may belong
+// to another listener than the one that accepts.
+func TestListenersShareLimit(t *testing.T) {
+	is := is.New(t)
+	g, addr := start(t, 2, Rule{}, func() {})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := g.Server(http.NotFoundHandler())
+	go func() { _ = srv.Serve(g.Listener(l)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	waiting := []net.Conn{dial(t, addr), dial(t, addr)}
+	for end := time.Now().Add(10 * time.Second); g.Conns.Open() < 2; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // both are accepted
+	}
+	for range waiting {
+		dial(t, l.Addr().String())
+	}
+	for _, c := range waiting {
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // less than limit.HeadTimeout
+		_, err := c.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // closed
+	}
+	waitForConns(t, g, 2)
+}
+
 // TestMessagesWithManyFieldsAreRefused guards against small bodies that decode to
 // a hundred times their size.
 func TestMessagesWithManyFieldsAreRefused(t *testing.T) {
--- a/internal/transport/guard/listen.go
+++ b/internal/transport/guard/listen.go
@@ -25,8 +25,9 @@
 	Prefix string // of the names of metrics, may be empty
 	Logger zerolog.Logger
 
-	mu     sync.Mutex           // guards logged
-	logged map[string]time.Time // when a limit was last logged, by reason
+	mu     sync.Mutex            // guards the fields below
+	conns  map[*limit.Conn]*conn // open ones of all listeners
+	logged map[string]time.Time  // when a limit was last logged, by reason
 }
 
 type connKey struct{}
@@ -48,15 +49,12 @@
 // Listener returns a listener that accepts the connections of l and closes one
 // for each beyond the limit.
 func (g *Guard) Listener(l net.Listener) net.Listener {
-	return &listener{Listener: l, guard: g, conns: map[*limit.Conn]*conn{}}
+	return &listener{Listener: l, guard: g}
 }
 
 type listener struct {
 	net.Listener
 	guard *Guard
-
-	mu    sync.Mutex // guards conns
-	conns map[*limit.Conn]*conn
 }
 
 // Accept implements net.Listener.
@@ -66,13 +64,8 @@
 		if err != nil {
 			return nil, err
 		}
-		entry, victim, reason := l.guard.Conns.Accept()
-		c := &conn{Conn: accepted, listener: l, entry: entry}
-		l.mu.Lock()
-		l.conns[entry] = c
-		closing := l.conns[victim] // nil if it has just closed itself
-		l.mu.Unlock()
-		if victim == nil {
+		c, closing, reason := l.guard.accept(accepted)
+		if reason == "" {
 			return c, nil
 		}
 		l.guard.report("closed_connections", reason)
@@ -85,19 +78,35 @@
 	}
 }
 
+// accept adds a connection. If there are too many now, it also returns the reason
+// and the connection to close, which is nil if it has just closed itself. The lock
+// is held throughout, since another listener of the guard may choose a connection
+// as soon as it is in Conns.
+func (g *Guard) accept(accepted net.Conn) (c, closing *conn, reason string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	entry, victim, reason := g.Conns.Accept()
+	c = &conn{Conn: accepted, guard: g, entry: entry}
+	if g.conns == nil {
+		g.conns = map[*limit.Conn]*conn{}
+	}
+	g.conns[entry] = c
+	return c, g.conns[victim], reason
+}
+
 // conn is a connection of a client.
 type conn struct {
 	net.Conn
-	listener *listener
-	entry    *limit.Conn
-	removed  sync.Once
+	guard   *Guard
+	entry   *limit.Conn
+	removed sync.Once
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.listener.guard.Conns.Begin(c.entry)
+		c.guard.Conns.Begin(c.entry)
 	}
 	return n, err
 }
@@ -123,10 +132,10 @@
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.removed.Do(func() {
-		c.listener.guard.Conns.Remove(c.entry)
-		c.listener.mu.Lock()
-		delete(c.listener.conns, c.entry)
-		c.listener.mu.Unlock()
+		c.guard.Conns.Remove(c.entry)
+		c.guard.mu.Lock()
+		delete(c.guard.conns, c.entry)
+		c.guard.mu.Unlock()
 	})
 	return err
 }
