internal/transport/guard: smaller bodies of peers in JSON

A body of {"orders":[{},{},...]} on the port of peers decodes to 67 times its size and can't be checked before. At 64 KiB that takes 16 ms, which is more than a time slice, so all bodies that the budget admits are decoded at the same time. In a trial with the limits of a machine of 144 MB and one processor, 180 such requests on one process took 515 MB of live heap, so a few clients end the process.

A slot for decoding was ruled out: generated code decodes and calls the handler in one, and long polls would hold the slot. No instance sends JSON, so the largest body is 4 KiB now.

TestPeerBodiesDecodeToLittle fails without the change (5,531,656 bytes for a body of 65,535) and passes with it, as do the package's other tests with -race.

--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -6,13 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/tamaracklink/tamaracklink/internal/protocol/cellpb"
 	"github.com/tamaracklink/tamaracklink/internal/state/limit"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
 )
@@ -184,3 +188,34 @@
 	is.True(checkMessage(strings.NewReader("\x12\x05abc")) != nil) // ends early
 	is.True(checkMessage(strings.NewReader("\x0b")) != nil)        // a group
 }
+
+// TestPeerBodiesDecodeToLittle guards against bodies of peers that exhaust the
+// memory when many of them are decoded at the same time.
+func TestPeerBodiesDecodeToLittle(t *testing.T) {
+	is := is.New(t)
+	const largest = 4 << 20 // of all that is allocated for one body
+	for _, tt := range []struct{ kind, first, repeated, last string }{
+		{"application/json", `{"orders":[{}`, ",{}", "]}"},
+		{"application/protobuf", "", "\x1a\x00", ""},
+	} {
+		r := &http.Request{Header: http.Header{"Content-Type": {tt.kind}}}
+		rule := PeerRule(nil, r)
+		n := (int(rule.MaxBytes) - len(tt.first) - len(tt.last)) / len(tt.repeated)
+		if rule.Check != nil {
+			n = maxPeerFields
+		}
+		data, msg := []byte(tt.first+strings.Repeat(tt.repeated, n)+tt.last), &cellpb.GiveRequest{}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		if rule.Check != nil {
+			is.NoErr(proto.Unmarshal(data, msg))
+		} else {
+			is.NoErr(protojson.Unmarshal(data, msg))
+		}
+		runtime.ReadMemStats(&after)
+		is.True(len(msg.Orders) >= n)
+		if used := after.TotalAlloc - before.TotalAlloc; used > largest {
+			t.Errorf("%s: %d bytes take %d bytes, want at most %d", tt.kind, len(data), used, largest)
+		}
+	}
+}
--- a/internal/transport/guard/peers.go
+++ b/internal/transport/guard/peers.go
@@ -23,8 +23,10 @@
 	// The messages with most fields have one for each order, worker or header.
 	maxPeerFields = 16 << 10
 	// maxPeerJSONBytes is the largest body in JSON, which twirp serves too and no
-	// instance sends. It can't be checked before it is decoded.
-	maxPeerJSONBytes = 64 << 10
+	// instance sends. It can't be checked before it is decoded, to some 70 times its
+	// size. Longer bodies take more than a time slice to decode, so that all that are
+	// held are decoded at the same time: 180 bodies of 64 KiB took 515 MB.
+	maxPeerJSONBytes = 4 << 10
 )
 
 // PeerRule returns the rule for calls of other instances.
