--- a/internal/transport/flows/flows.go
+++ b/internal/transport/flows/flows.go
@@ -116,8 +116,7 @@
 		s.writeError(w, core.ErrNotExecuted)
 		return
 	}
-	spec, status, err := readJob(w, r)
-	s.Decoders.Release()
+	spec, status, err := s.readJob(w, r)
 	if err != nil {
 		writeJSON(w, status, badRequest(err))
 		return
@@ -161,9 +160,10 @@
 	writeJSON(w, http.StatusOK, JobView{ID: spec.ID, Queue: spec.Queue, State: flow.Queued.String(), ConfigVersion: cfg.Version, Customer: spec.Customer})
 }
 
-// readJob reads and decodes a job. With an error it returns the status of the
-// answer.
-func readJob(w http.ResponseWriter, r *http.Request) (*flow.Spec, int, error) {
+// readJob reads and decodes a job, and gives back the decoder that the caller has
+// taken, also if it panics. With an error it returns the status of the answer.
+func (s *Server) readJob(w http.ResponseWriter, r *http.Request) (*flow.Spec, int, error) {
+	defer s.Decoders.Release()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	if err != nil {
 		return nil, http.StatusRequestEntityTooLarge, err
--- a/internal/transport/flows/flows_test.go
+++ b/internal/transport/flows/flows_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/transport/guard"
 )
 
 // TestJobsAreReadStrictlyAndInPart guards against steps that are decoded beyond
@@ -17,7 +18,7 @@
 func TestJobsAreReadStrictlyAndInPart(t *testing.T) {
 	is := is.New(t)
 	read := func(body string) (*flow.Spec, int, error) {
-		return readJob(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/flows", strings.NewReader(body)))
+		return (&Server{}).readJob(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/flows", strings.NewReader(body)))
 	}
 	spec, _, err := read(`{"id":"a","queue":"q","steps":[{"count":1},{"count":2,"after":[0]}]}`)
 	is.NoErr(err)
@@ -35,3 +36,15 @@
 		is.Equal(status, http.StatusBadRequest)
 	}
 }
+
+// TestPanicGivesDecoderBack guards against panics after which no body is decoded
+// any more.
+func TestPanicGivesDecoderBack(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Decoders: make(guard.Slots, 1)}
+	func() {
+		defer func() { is.True(recover() != nil) }()
+		s.submitJob(httptest.NewRecorder(), &http.Request{}, nil) // without a body
+	}()
+	is.Equal(len(s.Decoders), 0)
+}
--- a/internal/transport/server/operators.go
+++ b/internal/transport/server/operators.go
@@ -162,21 +162,25 @@
 // decodeBody reads the body and decodes it strictly as JSON into v. It reports
 // whether that succeeded; if not, it has answered the call with an error.
 func (i *Instance) decodeBody(w http.ResponseWriter, r *http.Request, step string, v any) bool {
-	err := i.decoders.Take(r.Context())
-	if err == nil {
-		var data []byte
-		if data, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes)); err == nil {
-			err = strict.Decode(data, v)
-		}
-		i.decoders.Release()
-	}
-	if err != nil {
+	if err := i.readBody(w, r, v); err != nil {
 		writeOperatorError(w, http.StatusBadRequest, codeBadInput, step, r.RemoteAddr, err)
 		return false
 	}
 	return true
 }
 
+func (i *Instance) readBody(w http.ResponseWriter, r *http.Request, v any) error {
+	if err := i.decoders.Take(r.Context()); err != nil {
+		return err
+	}
+	defer i.decoders.Release() // also if decoding panics
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		return err
+	}
+	return strict.Decode(data, v)
+}
+
 type patchRequest struct {
 	ID       string          `json:"id"`
 	Operator string          `json:"operator"`
