internal/transport/guard: an unused connection counts as idle

net/http applies the timeout of a head from the acceptance of a connection on, so a client was cut off if it sent its first byte more than 5 s after that. Clients do so within their limits (15 s idle): a connection pool that has opened a connection for a request that another one has served keeps it for a later request. Go's client does not repeat a request on such a connection, since it was never used before. The pools of other instances keep connections for 60 s.

The timeouts themselves are right and unchanged. Until its first byte a connection now has the time of an idle one, 75 s; the head's 5 s start with that byte. Such connections were and are the first to be closed at the limit of connections.

TestUnusedConnectionIsIdle fails without the change and passes with it, as do the tests of internal/transport/... with -race.

--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -219,3 +219,34 @@
 		}
 	}
 }
+
+// deadlines is a connection that records its read deadline.
+type deadlines struct {
+	net.Conn
+	read time.Time
+}
+
+func (d *deadlines) Read(p []byte) (int, error) { return len(p), nil }
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.read = t
+	return nil
+}
+
+// TestUnusedConnectionIsIdle guards against clients that are cut off because their
+// pool has opened a connection seconds before it is first used, and against heads
+// that may take longer after that.
+func TestUnusedConnectionIsIdle(t *testing.T) {
+	is := is.New(t)
+	g, d := &Guard{Conns: limit.NewConns(1)}, &deadlines{}
+	c, _, _ := g.accept(d)
+	start := time.Now()
+	is.NoErr(c.SetReadDeadline(start.Add(limit.HeadTimeout))) // as net/http does after the acceptance
+	is.Equal(d.read, start.Add(limit.IdleTimeout))
+	_, err := c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(!d.read.Before(start.Add(limit.HeadTimeout)))
+	is.True(!d.read.After(time.Now().Add(limit.HeadTimeout)))
+	is.NoErr(c.SetReadDeadline(start))
+	is.Equal(d.read, start)
+}
--- a/internal/transport/guard/listen.go
+++ b/internal/transport/guard/listen.go
@@ -99,6 +99,7 @@
 	net.Conn
 	guard   *Guard
 	entry   *limit.Conn
+	began   bool // a byte has arrived; not written after that
 	removed sync.Once
 }
 
@@ -106,11 +107,26 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
+		if !c.began {
+			c.began = true
+			_ = c.Conn.SetReadDeadline(time.Now().Add(limit.HeadTimeout)) // it fails only on a closed connection
+		}
 		c.guard.Conns.Begin(c.entry)
 	}
 	return n, err
 }
 
+// SetReadDeadline implements net.Conn. Until the first byte has arrived, the
+// connection is idle: net/http would apply the head's timeout from its acceptance
+// on, but clients keep unused connections, which their pools have opened in advance,
+// as long as idle ones.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if !c.began && !t.IsZero() {
+		t = t.Add(limit.IdleTimeout - limit.HeadTimeout)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(limit.WriteTimeout)); err != nil {
