internal/state/limit: idle connections make room for requests that arrive

At the limit of connections, an incomplete connection was always closed before an idle one. So idle connections that had used up the limit stayed, and requests that arrived at the same time on new connections closed each other's. Ordinary clients with idle connections are enough for that, and 576 idle ones (144 MB) keep an instance from all others.

An age below which incomplete connections are spared was ruled out: it needs a clock, and a crowd would use it. The one idle for longest is closed now, unless more connections are incomplete than idle. Incomplete ones can thus drive out idle ones up to half of the limit, after which they close each other as before.

TestIdleConnectionsMakeRoom fails without it and passes with it, as do the other tests of the package, unchanged, and of internal/transport/guard with -race.

--- a/internal/state/limit/conns.go
+++ b/internal/state/limit/conns.go
@@ -37,9 +37,11 @@
 }
 
 // Accept adds a connection. If there are too many now, it also returns the one to
-// close and the reason: the incomplete one that began first, or else the one idle
-// for longest. That may be the new one itself, but never one whose request is
-// executed. The caller must close it; it counts until Remove.
+// close and the reason: the incomplete one that began first if more connections are
+// incomplete than idle, and else the one idle for longest. Otherwise idle connections
+// that use up the limit would stay while requests that arrive at the same time close
+// each other's connections. The victim may be the new connection itself, but never
+// one whose request is executed. The caller must close it; it counts until Remove.
 func (s *Conns) Accept() (c, victim *Conn, reason string) {
 	c = &Conn{}
 	s.mu.Lock()
@@ -49,9 +51,8 @@
 	if s.open <= s.limit {
 		return c, nil, ""
 	}
-	reason = ReasonIncomplete
-	if front := s.incomplete.Front().Value.(*Conn); front != c || s.idle.Len() == 0 {
-		victim = front
+	if front := s.incomplete.Front().Value.(*Conn); front != c && s.incomplete.Len() > s.idle.Len() || s.idle.Len() == 0 {
+		victim, reason = front, ReasonIncomplete
 	} else {
 		victim, reason = s.idle.Front().Value.(*Conn), ReasonIdle
 	}
--- a/internal/state/limit/limit_test.go
+++ b/internal/state/limit/limit_test.go
@@ -52,6 +52,29 @@
 	is.Equal(victim, newest) // the others are executed
 }
 
+// TestIdleConnectionsMakeRoom guards against idle connections that use up the limit,
+// while the requests of new ones that arrive together close each other's connections.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	const allowed, together = 100, 20
+	s := NewConns(allowed)
+	for range allowed {
+		c, _, _ := s.Accept()
+		is.True(s.Execute(c))
+		s.Idle(c)
+	}
+	var arriving []*Conn
+	for range together {
+		c, victim, reason := s.Accept()
+		is.Equal(reason, ReasonIdle)
+		s.Remove(victim)
+		arriving = append(arriving, c)
+	}
+	for _, c := range arriving {
+		is.True(s.Execute(c))
+	}
+}
+
 // TestBudgetKeepsRoomForSmallBodies guards against large bodies that use up the
 // room of ordinary ones, and against bytes that are never given back.
 func TestBudgetKeepsRoomForSmallBodies(t *testing.T) {
