--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -6,13 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/tamaracklink/tamaracklink/internal/protocol/cellpb"
 	"github.com/tamaracklink/tamaracklink/internal/state/limit"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
 )
@@ -52,6 +56,17 @@
 	return c
 }
 
+// waitForConns waits until at most limit connections are open. A client may see the
+// end of its connection just before that no longer counts.
+func waitForConns(t *testing.T, g *Guard, limit int) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); g.Conns.Open() > limit; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are open, want at most %d", g.Conns.Open(), limit)
+		}
+	}
+}
+
 // TestBodiesAreLimited guards against bodies beyond the limits that are held, and
 // against answers from which a client can't tell that its call has not run.
 func TestBodiesAreLimited(t *testing.T) {
@@ -130,13 +145,39 @@
 		_, err := c.Read(make([]byte, 1))
 		is.True(err != nil) // closed
 	}
-	is.True(g.Conns.Open() <= 2)
+	waitForConns(t, g, 2)
 	close(goOn)
 	resp, err := http.ReadResponse(bufio.NewReader(executed), nil)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
 
+// TestListenersShareLimit guards against connections beyond the limit of a guard
+// with several listeners, as for readiness and metrics: the one to close may belong
+// to another listener than the one that accepts.
+func TestListenersShareLimit(t *testing.T) {
+	is := is.New(t)
+	g, addr := start(t, 2, Rule{}, func() {})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := g.Server(http.NotFoundHandler())
+	go func() { _ = srv.Serve(g.Listener(l)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	waiting := []net.Conn{dial(t, addr), dial(t, addr)}
+	for end := time.Now().Add(10 * time.Second); g.Conns.Open() < 2; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // both are accepted
+	}
+	for range waiting {
+		dial(t, l.Addr().String())
+	}
+	for _, c := range waiting {
+		_ = c.SetReadDeadline(time.Now().Add(2 * time.Second)) // less than limit.HeadTimeout
+		_, err := c.Read(make([]byte, 1))
+		is.Equal(err, io.EOF) // closed
+	}
+	waitForConns(t, g, 2)
+}
+
 // TestMessagesWithManyFieldsAreRefused guards against small bodies that decode to
 // a hundred times their size.
 func TestMessagesWithManyFieldsAreRefused(t *testing.T) {
@@ -147,3 +188,65 @@
 	is.True(checkMessage(strings.NewReader("\x12\x05abc")) != nil) // ends early
 	is.True(checkMessage(strings.NewReader("\x0b")) != nil)        // a group
 }
+
+// TestPeerBodiesDecodeToLittle guards against bodies of peers that exhaust the
+// memory when many of them are decoded at the same time.
+func TestPeerBodiesDecodeToLittle(t *testing.T) {
+	is := is.New(t)
+	const largest = 3 << 19 // of all that is allocated for one body
+	for _, tt := range []struct{ kind, first, repeated, last string }{
+		{"application/json", `{"orders":[{}`, ",{}", "]}"},
+		{"application/protobuf", "", "\x1a\x00", ""},
+	} {
+		r := &http.Request{Header: http.Header{"Content-Type": {tt.kind}}}
+		rule := PeerRule(nil, r)
+		n := (int(rule.MaxBytes) - len(tt.first) - len(tt.last)) / len(tt.repeated)
+		if rule.Check != nil {
+			n = maxPeerFields
+		}
+		data, msg := []byte(tt.first+strings.Repeat(tt.repeated, n)+tt.last), &cellpb.GiveRequest{}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		if rule.Check != nil {
+			is.NoErr(proto.Unmarshal(data, msg))
+		} else {
+			is.NoErr(protojson.Unmarshal(data, msg))
+		}
+		runtime.ReadMemStats(&after)
+		is.True(len(msg.Orders) >= n)
+		if used := after.TotalAlloc - before.TotalAlloc; used > largest {
+			t.Errorf("%s: %d bytes take %d bytes, want at most %d", tt.kind, len(data), used, largest)
+		}
+	}
+}
+
+// deadlines is a connection that records its read deadline.
+type deadlines struct {
+	net.Conn
+	read time.Time
+}
+
+func (d *deadlines) Read(p []byte) (int, error) { return len(p), nil }
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.read = t
+	return nil
+}
+
+// TestUnusedConnectionIsIdle guards against clients that are cut off because their
+// pool has opened a connection seconds before it is first used, and against heads
+// that may take longer after that.
+func TestUnusedConnectionIsIdle(t *testing.T) {
+	is := is.New(t)
+	g, d := &Guard{Conns: limit.NewConns(1)}, &deadlines{}
+	c, _, _ := g.accept(d)
+	start := time.Now()
+	is.NoErr(c.SetReadDeadline(start.Add(limit.HeadTimeout))) // as net/http does after the acceptance
+	is.Equal(d.read, start.Add(limit.IdleTimeout))
+	_, err := c.Read(make([]byte, 1))
+	is.NoErr(err)
+	is.True(!d.read.Before(start.Add(limit.HeadTimeout)))
+	is.True(!d.read.After(time.Now().Add(limit.HeadTimeout)))
+	is.NoErr(c.SetReadDeadline(start))
+	is.Equal(d.read, start)
+}
