internal/testing/abuse: further paths, methods, contents and moments

Cause: the tests of untrusted clients play POST with bodies of 256 KiB on some paths.

The change: these cases, with the crowds and bounds fixed before the product changes. A GET request on the crowd's port must be answered, too.

--- a/internal/testing/abuse/abuse_test.go
+++ b/internal/testing/abuse/abuse_test.go
@@ -1,11 +1,15 @@
 package abuse
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -29,6 +33,8 @@
 	size int
 	// again makes a client whose connection is closed open another one.
 	again bool
+	// unread says that the clients read no answers by themselves.
+	unread bool
 	// play sends what the client sends and returns when it is done or the
 	// connection is closed. It calls ready before it completes a request; that
 	// waits until all clients have called it.
@@ -39,8 +45,11 @@
 type client struct {
 	net.Conn
 	path  string
+	more  string // further fields of the head
 	ready func()
 	stop  chan struct{} // closed when the case ends
+	// closed is closed when the connection has ended, unless the crowd is unread.
+	closed chan struct{}
 }
 
 var (
@@ -58,7 +67,7 @@
 }
 
 func (c *client) head(fields string) string {
-	return "POST " + c.path + " HTTP/1.1\r\nHost: h\r\n" + fields
+	return "POST " + c.path + " HTTP/1.1\r\nHost: h\r\n" + c.more + fields
 }
 
 // repeat sends text until the connection is closed or the case ends.
@@ -88,42 +97,42 @@
 )
 
 var crowds = []crowd{
-	{wholeBodies, many, false, func(c *client) {
+	{name: wholeBodies, size: many, play: func(c *client) {
 		c.send(c.head(fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))) + body[:len(body)-1])
 		c.ready()
 		c.send(body[len(body)-1:])
 	}},
-	{pieces, many, false, func(c *client) {
+	{name: pieces, size: many, play: func(c *client) {
 		c.send(c.head(fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))))
 		for rest := body[:len(body)-1]; rest != "" && c.send(rest[:min(8192, len(rest))]); {
 			rest = rest[min(8192, len(rest)):]
 		}
 	}},
-	{largeChunks, many, false, func(c *client) { c.send(c.head("Transfer-Encoding: chunked\r\n\r\n") + large) }},
-	{tinyChunks, many, false, func(c *client) { c.send(c.head("Transfer-Encoding: chunked\r\n\r\n") + tiny) }},
-	{bigHeads, many, false, func(c *client) { c.send(c.head(strings.Repeat("X-Padding: "+padding[:9990]+"\r\n", 100))) }},
-	{slowHeads, many, true, func(c *client) {
+	{name: largeChunks, size: many, play: func(c *client) { c.send(c.head("Transfer-Encoding: chunked\r\n\r\n") + large) }},
+	{name: tinyChunks, size: many, play: func(c *client) { c.send(c.head("Transfer-Encoding: chunked\r\n\r\n") + tiny) }},
+	{name: bigHeads, size: many, play: func(c *client) { c.send(c.head(strings.Repeat("X-Padding: "+padding[:9990]+"\r\n", 100))) }},
+	{name: slowHeads, size: many, again: true, play: func(c *client) {
 		if c.send(c.head("")) {
 			c.repeat("X-Padding: "+padding[:90]+"\r\n", 100*time.Millisecond)
 		}
 	}},
-	{fastHeads, some, true, func(c *client) {
+	{name: fastHeads, size: some, again: true, play: func(c *client) {
 		if c.send(c.head("X-Padding: ")) {
 			c.repeat(padding[:65536], 0)
 		}
 	}},
-	{emptyFirst, many, true, func(c *client) { c.repeat(strings.Repeat("\r\n", 32768), 0) }},
-	{emptyLater, some, true, func(c *client) {
+	{name: emptyFirst, size: many, again: true, play: func(c *client) { c.repeat(strings.Repeat("\r\n", 32768), 0) }},
+	{name: emptyLater, size: some, again: true, play: func(c *client) {
 		if c.send(c.head("Content-Length: 2\r\n\r\n{}")) {
 			c.repeat(strings.Repeat("\r\n", 32768), 0)
 		}
 	}},
-	{manySteps, few, false, func(c *client) {
+	{name: manySteps, size: few, play: func(c *client) {
 		c.send(c.head(fmt.Sprintf("Content-Length: %d\r\n\r\n", len(steps))) + steps[:len(steps)-1])
 		c.ready()
 		c.send(steps[len(steps)-1:])
 	}},
-	{endlessBody, few, false, func(c *client) {
+	{name: endlessBody, size: few, play: func(c *client) {
 		c.send(c.head("Transfer-Encoding: chunked\r\nContent-Type: application/protobuf\r\n\r\n"))
 		chunk := fmt.Sprintf("%x\r\n%s\r\n", bodyBytes, padding)
 		for range 64 {
@@ -137,7 +146,7 @@
 // gather runs the crowd until each client has played once or for at most
 // waitLimit, and returns a function that ends it. Connections stay open until
 // then.
-func (c crowd) gather(addr, path string) func() {
+func (c crowd) gather(addr, path, more string) func() {
 	stop := make(chan struct{})
 	var all, first, waiting sync.WaitGroup
 	first.Add(c.size)
@@ -150,7 +159,7 @@
 			for {
 				conn, err := net.DialTimeout("tcp", addr, waitLimit)
 				if err == nil {
-					ended := make(chan struct{})
+					ended, closed := make(chan struct{}), make(chan struct{})
 					go func() { // unblocks a client that writes and is not read
 						defer close(ended)
 						select {
@@ -159,11 +168,16 @@
 						}
 						_ = conn.Close()
 					}()
-					go func() { _, _ = io.Copy(io.Discard, conn) }() // reads the answers
+					if !c.unread {
+						go func() { // reads the answers
+							defer close(closed)
+							_, _ = io.Copy(io.Discard, conn)
+						}()
+					}
 					if c.again {
 						played()
 					}
-					c.play(&client{Conn: conn, path: path, stop: stop, ready: func() {
+					c.play(&client{Conn: conn, path: path, more: more, stop: stop, closed: closed, ready: func() {
 						ready()
 						waiting.Wait()
 					}})
@@ -206,49 +220,183 @@
 	addr   string // key of process.addrs
 	path   string
 	crowds []string
+	more   string // further fields of the crowd's heads
+	// probe is the path of a GET request at addr that must be answered too while the
+	// crowd's connections are open; empty for none.
+	probe string
+	// probeAddr is the key of the address of probe; empty for that of the crowd.
+	probeAddr string
 }
 
-func play(t *testing.T, newProcess func(*testing.T, string) *process, targets []target) {
+func play(t *testing.T, newProcess func(*testing.T, string, int) *process, maxFDs int, targets []target) {
 	if testing.Short() {
 		t.Skip("runs processes in real time")
 	}
 	program := build(t)
 	for _, target := range targets {
 		for _, name := range target.crowds {
-			for _, c := range crowds {
-				if c.name != name {
-					continue
+			t.Run(target.name+"/"+name, func(t *testing.T) {
+				p := newProcess(t, program, maxFDs)
+				t.Logf("before the crowd: peak memory %d MB", p.peakMB())
+				end := crowdNamed(t, name).gather(p.addrs[target.addr], target.path, target.more)
+				p.accept("an ordinary job, while the crowd's connections are open", p.body(2))
+				if target.probe != "" {
+					p.answer(p.addrs[cmp.Or(target.probeAddr, target.addr)], target.probe)
 				}
-				t.Run(target.name+"/"+name, func(t *testing.T) {
-					p := newProcess(t, program)
-					t.Logf("before the crowd: peak memory %d MB", p.peakMB())
-					end := c.gather(p.addrs[target.addr], target.path)
-					p.accept("an ordinary job, while the crowd's connections are open", p.body(2))
-					p.check()
-					end()
-				})
-			}
+				p.check()
+				end()
+			})
 		}
 	}
 }
 
+func crowdNamed(t *testing.T, name string) crowd {
+	t.Helper()
+	all := slices.Concat(crowds, moreCrowds)
+	i := slices.IndexFunc(all, func(c crowd) bool { return c.name == name })
+	if i < 0 {
+		t.Fatalf("there is no crowd %q", name)
+	}
+	return all[i]
+}
+
+const (
+	cellPath   = "/twirp/tamaracklink.cell.Cell/"
+	peerPath   = "/twirp/tamaracklink.peer.Peer/"
+	callPath   = "/q/00000000000000aa"
+	runPath    = "/run/x"
+	runHeaders = "Tamaracklink-Tenant: club\r\nTamaracklink-Class: patient\r\nTamaracklink-Deadline-Ms: 600000\r\n"
+)
+
 // TestSiteWithstandsUntrustedClients guards against an instance that exceeds its
 // memory or its descriptors, ends, or serves nobody else, because of clients that
 // send too much or never complete what they send.
 func TestSiteWithstandsUntrustedClients(t *testing.T) {
-	play(t, newSite, []target{
-		{"callers", "callers", "/q/00000000000000aa", []string{wholeBodies, pieces, largeChunks, tinyChunks, bigHeads, slowHeads, fastHeads, emptyFirst, emptyLater, manySteps}},
-		{"operators", "operators", "/flows", []string{wholeBodies, largeChunks, slowHeads, manySteps}},
-		{"peers", "operators", "/twirp/tamaracklink.cell.Cell/Submit", []string{pieces, endlessBody}},
-		{"readiness", "readiness", "/", []string{pieces, slowHeads}},
-		{"metrics", "metrics", "/metrics", []string{tinyChunks, bigHeads}},
+	play(t, newSite, maxFDs, []target{
+		{name: "callers", addr: "callers", path: "/q/00000000000000aa", crowds: []string{wholeBodies, pieces, largeChunks, tinyChunks, bigHeads, slowHeads, fastHeads, emptyFirst, emptyLater, manySteps}},
+		{name: "operators", addr: "operators", path: "/flows", probe: "/site", crowds: []string{wholeBodies, largeChunks, slowHeads, manySteps}},
+		{name: "peers", addr: "operators", path: "/twirp/tamaracklink.cell.Cell/Submit", probe: "/site", crowds: []string{pieces, endlessBody}},
+		{name: "readiness", addr: "readiness", path: "/", probe: "/", crowds: []string{pieces, slowHeads}},
+		{name: "metrics", addr: "metrics", path: "/metrics", probe: "/metrics", crowds: []string{tinyChunks, bigHeads}},
 	})
 }
 
+// TestSiteWithstandsFurtherUntrustedClients guards against the same faults on further
+// paths, by further methods and with further contents.
+func TestSiteWithstandsFurtherUntrustedClients(t *testing.T) {
+	play(t, newSite, maxFDs, []target{
+		{name: "callers", addr: "callers", path: callPath, crowds: []string{otherMethods, neverReaders, slowReaders}},
+		{name: "operators", addr: "operators", path: "/flows", probe: "/site", crowds: []string{pieces, tinyChunks, bigHeads, fastHeads, emptyFirst, emptyLater, largestBodies, manyKeys}},
+		{name: "operators", addr: "operators", path: "/flows-config", probe: "/site", crowds: []string{slowReaders}},
+		{name: "peers", addr: "operators", path: cellPath + "Submit", probe: "/site", crowds: []string{wholeBodies, tinyChunks, specSteps}},
+		{name: "peers", addr: "operators", path: cellPath + "Answers", probe: "/site", crowds: []string{longPolls}},
+		{name: "readiness", addr: "readiness", path: "/", probe: "/", crowds: []string{wholeBodies, tinyChunks, bigHeads, fastHeads, emptyFirst, neverReaders, slowReaders}},
+		{name: "metrics", addr: "metrics", path: "/metrics", probe: "/", probeAddr: "readiness", crowds: []string{wholeBodies, slowHeads, fastHeads, emptyLater, neverReaders, slowReaders}},
+	})
+}
+
+// TestSiteWithstandsManyConnections guards against the same faults where the memory
+// and not the descriptors bounds the connections.
+func TestSiteWithstandsManyConnections(t *testing.T) {
+	play(t, newSite, moreFDs, []target{
+		{name: "callers", addr: "callers", path: callPath, crowds: []string{wholeBodies, pieces, largeChunks, tinyChunks, bigHeads, slowHeads, emptyFirst, manyFields, fieldsNoEnd, fieldsLater, fieldsReopened, slowReaders}},
+		{name: "operators", addr: "operators", path: "/flows", probe: "/site", crowds: []string{wholeBodies, tinyChunks, manyFields, fieldsNoEnd}},
+		{name: "peers", addr: "operators", path: cellPath + "Submit", probe: "/site", crowds: []string{wholeBodies, manyFields}},
+		{name: "readiness", addr: "readiness", path: "/", probe: "/", crowds: []string{manyFields, fieldsNoEnd}},
+	})
+}
+
+// TestSiteWithstandsCrowdsOnAllPorts guards against limits that hold on each port by
+// itself and not together.
+func TestSiteWithstandsCrowdsOnAllPorts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes in real time")
+	}
+	program := build(t)
+	for _, tt := range []struct {
+		name                                          string
+		callers, operators, peers, readiness, metrics string // crowds
+	}{
+		{"bodies", pieces, tinyChunks, wholeBodies, tinyChunks, pieces},
+		{"heads", manyFields, fieldsNoEnd, manyFields, manyFields, fieldsNoEnd},
+		{"bodies and heads", wholeBodies, manyFields, largeChunks, slowHeads, neverReaders},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newSite(t, program, moreFDs)
+			for _, crowd := range []struct{ addr, path, name string }{
+				{"readiness", "/", tt.readiness},
+				{"metrics", "/metrics", tt.metrics},
+				{"operators", "/flows", tt.operators},
+				{"operators", cellPath + "Submit", tt.peers},
+				{"callers", callPath, tt.callers},
+			} {
+				defer crowdNamed(t, crowd.name).gather(p.addrs[crowd.addr], crowd.path, "")()
+			}
+			p.accept("an ordinary job, while the crowds' connections are open", p.body(2))
+			p.answer(p.addrs["readiness"], "/")
+			p.answer(p.addrs["operators"], "/site")
+			p.check()
+		})
+	}
+}
+
+// TestProcessesRestartAmongUntrustedClients guards against a process that clients keep
+// from ending when it is told to, or from serving when it has just started.
+func TestProcessesRestartAmongUntrustedClients(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes in real time")
+	}
+	program := build(t)
+	for _, tt := range []struct {
+		name       string
+		newProcess func(*testing.T, string, int) *process
+		path       string
+		signals    []os.Signal
+	}{
+		{"site", newSite, callPath, []os.Signal{syscall.SIGHUP, syscall.SIGTERM}},
+		{"serve", newServe, "/v1/jobs", []os.Signal{syscall.SIGTERM}},
+	} {
+		for _, crowd := range []string{slowHeads, fastHeads, fieldsReopened, slowReaders} {
+			t.Run(tt.name+"/"+crowd, func(t *testing.T) {
+				p := tt.newProcess(t, program, maxFDs)
+				end := crowdNamed(t, crowd).gather(p.addrs["callers"], tt.path, "")
+				defer end()
+				for n := range 2 {
+					p.stop(tt.signals...)
+					p.start()
+					p.accept("an ordinary job, after a restart", p.body(2+n))
+				}
+				p.check()
+			})
+		}
+	}
+}
+
 // TestServeWithstandsUntrustedClients guards against the same faults of serve.
 func TestServeWithstandsUntrustedClients(t *testing.T) {
-	play(t, newServe, []target{
-		{"operators", "callers", "/v1/jobs", []string{wholeBodies, pieces, tinyChunks, slowHeads, emptyLater}},
-		{"peers", "callers", "/twirp/tamaracklink.peer.Peer/Forward", []string{largeChunks, endlessBody}},
+	play(t, newServe, maxFDs, []target{
+		{name: "operators", addr: "callers", path: "/v1/jobs", probe: "/healthz", crowds: []string{wholeBodies, pieces, tinyChunks, slowHeads, emptyLater}},
+		{name: "peers", addr: "callers", path: "/twirp/tamaracklink.peer.Peer/Forward", probe: "/healthz", crowds: []string{largeChunks, endlessBody}},
+	})
+}
+
+// TestServeWithstandsFurtherUntrustedClients guards against the same faults on further
+// paths and with further contents.
+func TestServeWithstandsFurtherUntrustedClients(t *testing.T) {
+	play(t, newServe, maxFDs, []target{
+		{name: "callers", addr: "callers", path: runPath, more: runHeaders, probe: "/healthz", crowds: []string{wholeBodies, pieces, largeChunks, tinyChunks, bigHeads, fastHeads, emptyFirst, largestBodies, otherMethods, longWaits}},
+		{name: "operators", addr: "callers", path: "/v1/jobs", probe: "/healthz", crowds: []string{largeChunks, bigHeads, fastHeads, emptyFirst, largestBodies, manyKeys}},
+		{name: "operators", addr: "callers", path: "/v1/patches", probe: "/healthz", crowds: []string{patchValues}},
+		{name: "operators", addr: "callers", path: "/metrics", probe: "/healthz", crowds: []string{neverReaders, slowReaders}},
+		{name: "peers", addr: "callers", path: peerPath + "Forward", probe: "/healthz", crowds: []string{wholeBodies, pieces, tinyChunks, headerValues}},
+	})
+}
+
+// TestServeWithstandsManyConnections guards against the same faults where the memory
+// and not the descriptors bounds the connections.
+func TestServeWithstandsManyConnections(t *testing.T) {
+	play(t, newServe, moreFDs, []target{
+		{name: "callers", addr: "callers", path: runPath, more: runHeaders, probe: "/healthz", crowds: []string{wholeBodies, tinyChunks, manyFields, fieldsNoEnd, fieldsLater}},
+		{name: "peers", addr: "callers", path: peerPath + "Forward", probe: "/healthz", crowds: []string{largeChunks, manyFields}},
 	})
 }
--- a/internal/testing/abuse/process_test.go
+++ b/internal/testing/abuse/process_test.go
@@ -34,9 +34,9 @@
 	maxFDs   = 400
 )
 
-// serveLimits are the flags that tell serve its limits; a site has them in its
-// settings.
-var serveLimits = []string{"-memory-mb", fmt.Sprint(memoryMB), "-max-fds", fmt.Sprint(maxFDs)}
+// moreFDs is a limit of descriptors with which the memory, not the descriptors,
+// bounds the number of connections, as on the smallest machine.
+const moreFDs = 1500
 
 // waitLimit ends a case that hangs. No other verdict depends on it.
 const waitLimit = 60 * time.Second
@@ -50,8 +50,11 @@
 	addrs   map[string]string
 	post    func(body string) *http.Request // an ordinary request with this body
 	body    func(n int) string              // of the ordinary request number n
+	maxFDs  int                             // limit of the process's descriptors
 	maxSeen int                             // most descriptors seen open; written by watch
+	unread  int                             // most bytes seen that had arrived and were not read; written by watch
 	watched chan struct{}                   // closed when watch has returned
+	newCmd  func() *exec.Cmd                // returns a command that starts the process
 }
 
 func build(t *testing.T) string {
@@ -63,7 +66,8 @@
 	return program
 }
 
-func (p *process) start(cmd *exec.Cmd) {
+func (p *process) start() {
+	cmd := p.newCmd()
 	p.log = filepath.Join(p.t.TempDir(), "log")
 	log, err := os.Create(p.log)
 	if err != nil {
@@ -89,15 +93,40 @@
 	<-p.watched
 }
 
-// watch counts the open descriptors until the process ends.
+// stop sends the signals one after another and waits until the process has ended by
+// itself.
+func (p *process) stop(signals ...os.Signal) {
+	p.t.Helper()
+	for _, s := range signals {
+		if err := p.cmd.Process.Signal(s); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+	select {
+	case <-p.exited:
+	case <-time.After(waitLimit):
+		p.t.Fatalf("the process has not ended %v after %v", waitLimit, signals)
+	}
+	<-p.watched
+	if !p.cmd.ProcessState.Success() {
+		data, _ := os.ReadFile(p.log)
+		p.t.Errorf("the process ended with %v; its log ends with %s", p.cmd.ProcessState, data[max(0, len(data)-2000):])
+	}
+}
+
+// watch counts the open descriptors and the bytes that wait to be read until the
+// process ends.
 func (p *process) watch() {
 	defer close(p.watched)
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-p.exited:
 			return
 		case <-time.After(10 * time.Millisecond):
 		}
+		if n%10 == 0 {
+			p.unread = max(p.unread, unreadBytes(p.addrs))
+		}
 		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
 		if err == nil {
 			p.maxSeen = max(p.maxSeen, len(entries))
@@ -105,6 +134,36 @@
 	}
 }
 
+// unreadBytes returns the number of bytes that have arrived on connections to the
+// addresses and were not read yet.
+func unreadBytes(addrs map[string]string) int {
+	local := map[string]bool{}
+	for _, addr := range addrs {
+		port, err := strconv.Atoi(addr[strings.LastIndex(addr, ":")+1:])
+		if err == nil {
+			local[fmt.Sprintf("0100007F:%04X", port)] = true
+		}
+	}
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	const established = "01"
+	sum := int64(0)
+	for line := range strings.Lines(string(data)) {
+		f := strings.Fields(line) // sl, local address, remote address, state, tx_queue:rx_queue
+		if len(f) < 5 || !local[f[1]] || f[3] != established {
+			continue
+		}
+		_, unread, _ := strings.Cut(f[4], ":")
+		n, err := strconv.ParseInt(unread, 16, 64)
+		if err == nil {
+			sum += n
+		}
+	}
+	return int(sum)
+}
+
 // peakMB returns the process's peak of resident memory, 0 if it has ended.
 func (p *process) peakMB() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
@@ -150,6 +209,27 @@
 	p.t.Errorf("%s: not accepted within %v; the last try: %s", what, waitLimit, last)
 }
 
+// answer sends GET requests to an address and path until one is answered 200. Each
+// time it uses a new connection.
+func (p *process) answer(addr, path string) {
+	p.t.Helper()
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	last := "not sent"
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		resp, err := client.Get("http://" + addr + path)
+		if err != nil {
+			last = err.Error()
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+		last = fmt.Sprintf("status %d", resp.StatusCode)
+	}
+	p.t.Errorf("GET %s: not answered within %v; the last try: %s", path, waitLimit, last)
+}
+
 // check kills the process and checks that it lived until now and stayed within
 // its limits.
 func (p *process) check() {
@@ -162,18 +242,22 @@
 	default:
 	}
 	p.kill()
-	p.t.Logf("peak memory %d MB, most open descriptors %d", peak, p.maxSeen)
+	unread := p.unread >> 20
+	p.t.Logf("peak memory %d MB, most unread bytes %d MB, most open descriptors %d", peak, unread, p.maxSeen)
 	if peak >= memoryMB {
 		p.t.Errorf("peak memory: got %d MB, want less than %d", peak, memoryMB)
 	}
-	if p.maxSeen >= maxFDs {
-		p.t.Errorf("most open descriptors: got %d, want less than %d", p.maxSeen, maxFDs)
+	if peak+unread >= memoryMB { // the platform counts them as memory of the process
+		p.t.Errorf("peak memory with unread bytes: got %d MB, want less than %d", peak+unread, memoryMB)
+	}
+	if p.maxSeen >= p.maxFDs {
+		p.t.Errorf("most open descriptors: got %d, want less than %d", p.maxSeen, p.maxFDs)
 	}
 }
 
 // newSite starts an instance on the platform with a stand-in of the platform and
 // one worker, and waits until it has accepted a job as large as its limits allow.
-func newSite(t *testing.T, program string) *process {
+func newSite(t *testing.T, program string, maxFDs int) *process {
 	platform := &wire.Platform{Service: "svc", TicketValidity: 1500 * time.Millisecond}
 	platform.Fleet = fleet.New(1, work.Size{CPU: 16000, Memory: 64000}, "svc", 6*time.Second, func(sched.TaskID) (fleet.TaskSpec, bool) {
 		return fleet.TaskSpec{Size: work.Size{CPU: 100, Memory: 100}, RunTime: 100 * time.Millisecond}, true
@@ -206,7 +290,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{t: t, addrs: map[string]string{"callers": addr(0), "operators": addr(1), "readiness": addr(2), "metrics": addr(3)}}
+	p := &process{t: t, maxFDs: maxFDs, addrs: map[string]string{"callers": addr(0), "operators": addr(1), "readiness": addr(2), "metrics": addr(3)}}
 	p.post = func(body string) *http.Request {
 		id, body, _ := strings.Cut(body, " ")
 		return request(t, addr(0), "/q/"+id, body)
@@ -214,9 +298,12 @@
 	p.body = func(n int) string {
 		return fmt.Sprintf(`%016x {"steps":[{"count":1,"cpu":100,"mem_mb":100,"estimate_ms":100}]}`, n)
 	}
-	cmd := exec.Command(program, "site", "-log-level", "warn", "-metrics-port", fmt.Sprint(port+3))
-	cmd.Env = append(os.Environ(), "TAMARACKLINK_NODE_FILE="+settings)
-	p.start(cmd)
+	p.newCmd = func() *exec.Cmd {
+		cmd := exec.Command(program, "site", "-log-level", "warn", "-metrics-port", fmt.Sprint(port+3))
+		cmd.Env = append(os.Environ(), "TAMARACKLINK_NODE_FILE="+settings)
+		return cmd
+	}
+	p.start()
 	largest := p.body(1)
 	p.accept("the largest job, without load", largest+strings.Repeat(" ", bodyBytes-len(largest)+17))
 	return p
@@ -224,19 +311,19 @@
 
 // newServe starts an instance of the request path with a stand-in of its
 // platform, and waits until it has accepted a configuration and a job.
-func newServe(t *testing.T, program string) *process {
+func newServe(t *testing.T, program string, maxFDs int) *process {
 	platform := platf.New(50*time.Millisecond, 10000)
 	store := httptest.NewServer(platform.Handler())
 	t.Cleanup(store.Close)
 	addr := fmt.Sprintf("127.0.0.1:%d", ports.Free(t, 1))
 	platform.Put(platf.Instance{Name: "e", Kind: "entry", Domain: "d", Addr: addr, State: "live"})
-	p := &process{t: t, addrs: map[string]string{"callers": addr}}
+	p := &process{t: t, maxFDs: maxFDs, addrs: map[string]string{"callers": addr}}
 	path := "/v1/patches"
 	p.post = func(body string) *http.Request { return request(t, addr, path, body) }
 	args := []string{"serve", "-instance", "e", "-domain", "d", "-listen", addr, "-platform", store.Listener.Addr().String(), "-log-level", "warn"}
-	cmd := exec.Command(program, append(args, serveLimits...)...)
-	cmd.Env = os.Environ()
-	p.start(cmd)
+	args = append(args, "-memory-mb", fmt.Sprint(memoryMB), "-max-fds", fmt.Sprint(maxFDs))
+	p.newCmd = func() *exec.Cmd { return exec.Command(program, args...) }
+	p.start()
 	p.accept("a configuration, without load", `{"id":"p1","operator":"test","base":0,"change":{"tenants":{"club":{"share":1}}}}`)
 	path = "/v1/jobs"
 	p.body = func(n int) string {
