internal/state/flow: jobs forwarded by other processes are decoded in part

What callers saw: an instance ended for want of memory after a few calls of Cell/Submit with legal sizes.

Cause: DecodeSpec decodes all steps and all indexes of earlier steps before Check counts them. A body of 2 MiB has 700,000 steps of 200 bytes. Callers' jobs have been decoded in part before; those that instances forward to each other were not, nor were the indexes of any job.

The change: DecodeForwarded refuses more than 512 KiB, which no valid job has in its stored form, and decodes at most 65 steps; Indexes, now the type of Step.After and of the callers' depends_on, decodes at most 65 numbers. The ledger goes on to use DecodeSpec, as its records have been checked. A test in platform compares with the new type.

TestForwardedJobsAreDecodedInPart keeps the largest valid job below the limit.

Conclusion: what is decoded no longer grows with the number of elements sent.

--- a/internal/protocol/cell/cell.go
+++ b/internal/protocol/cell/cell.go
@@ -55,7 +55,7 @@
 // Submit accepts a job for a peer. The outcome carries the result; the error is
 // only for a spec that can't be decoded or is not valid.
 func (s *Server) Submit(ctx context.Context, req *cellpb.SubmitRequest) (*cellpb.Outcome, error) {
-	spec, err := flow.DecodeSpec(req.Spec)
+	spec, err := flow.DecodeForwarded(req.Spec)
 	if err != nil {
 		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
 	}
--- a/internal/state/flow/spec.go
+++ b/internal/state/flow/spec.go
@@ -30,7 +30,7 @@
 	Count           int       `json:"count"`                    // number of tasks
 	Size            work.Size `json:"size"`                     // request of each task
 	EstimateMs      int64     `json:"estimate-ms,omitempty"`    // estimated run time of each task; 0 if unknown
-	After           []int     `json:"after,omitempty"`          // indexes of the earlier steps that must be done first
+	After           Indexes   `json:"after,omitempty"`          // indexes of the earlier steps that must be done first
 	Checkpointing   bool      `json:"checkpoints,omitempty"`    // a task can resume from its last checkpoint
 	Gang            bool      `json:"gang,omitempty"`           // all tasks start together or none does
 	PreferOneRack   bool      `json:"one-rack,omitempty"`       // prefer one rack: slower when spread over racks
