internal/state/limit, internal/transport/guard: charge heads of many fields

What callers saw: a few hundred connections with heads of legal size ended an instance for want of memory, on each of its ports.

Cause: the limits count a head as its bytes. net/http holds each field in a map: some 200 bytes for a field of five, so 16 KiB of head take up to 1 MiB, and they are held while the head or the body is incomplete. The limit of connections assumes 32 KiB.

The change: package limit counts the lines of heads as they arrive. 256 bytes for each line beyond 64 are charged to the part of the budget for bodies in which nothing is reserved, until the next head. Without room the answer is 503 with Retry-After, before the call is executed, also to a head that is still incomplete. Heads that net/http has read ahead together with the previous request count too.

Conclusion: the memory of heads is bounded by the budget, and ordinary heads need none of it.

--- a/internal/command/oper/limits.go
+++ b/internal/command/oper/limits.go
@@ -27,12 +27,14 @@
 // and number of descriptors, as in limit.Derive.
 func newSiteGuards(memory, fds int64, m *meter.Set, logger zerolog.Logger) *siteGuards {
 	limits := limit.Derive(memory, fds)
-	newGuard := func(name string, conns int) *guard.Guard {
-		return &guard.Guard{Name: name, Conns: limit.NewConns(conns), Meter: m, Logger: logger}
+	clientBodies, peerBodies := limit.NewBudget(limits.BodyBytes), limit.NewBudget(limits.BodyBytes)
+	newGuard := func(name string, conns int, heads *limit.Budget) *guard.Guard {
+		return &guard.Guard{Name: name, Conns: limit.NewConns(conns), Heads: heads, Meter: m, Logger: logger}
 	}
 	return &siteGuards{
-		callers: newGuard("callers", limits.ClientConns), peers: newGuard("peers", limits.PeerConns), probes: newGuard("probes", limits.ProbeConns),
-		clientBodies: limit.NewBudget(limits.BodyBytes), peerBodies: limit.NewBudget(limits.BodyBytes),
+		callers: newGuard("callers", limits.ClientConns, clientBodies), peers: newGuard("peers", limits.PeerConns, peerBodies),
+		probes:       newGuard("probes", limits.ProbeConns, clientBodies),
+		clientBodies: clientBodies, peerBodies: peerBodies,
 		decoders: make(guard.Slots, limit.Decoders), meter: m,
 	}
 }
--- a/internal/state/limit/budget.go
+++ b/internal/state/limit/budget.go
@@ -35,6 +35,18 @@
 	return true
 }
 
+// TakeLarge charges n bytes for which nothing is reserved, and reports whether there was
+// room.
+func (b *Budget) TakeLarge(n int64) bool { return b.Take(ReservedBytes, n) }
+
+// ReleaseLarge gives back n bytes that TakeLarge has charged.
+func (b *Budget) ReleaseLarge(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+	b.large -= n
+}
+
 // Release gives back all bytes of a body of which held bytes are charged.
 func (b *Budget) Release(held int64) {
 	b.mu.Lock()
--- a/internal/state/limit/doc.go
+++ b/internal/state/limit/doc.go
@@ -5,5 +5,5 @@
 // decisions.
 //
 // derive.go derives the limits from the machine's memory and descriptors,
-// budget.go counts the bytes, conns.go the connections.
+// budget.go counts the bytes, head.go the lines of heads, conns.go the connections.
 package limit
--- a/internal/state/limit/limit_test.go
+++ b/internal/state/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -126,3 +127,46 @@
 		})
 	}
 }
+
+// TestHeadCountsLines guards against heads whose fields are not charged, also if they
+// arrive together with the request before, and against charges for bodies.
+func TestHeadCountsLines(t *testing.T) {
+	const head, lines = "POST / HTTP/1.1\r\nHost: h\r\n", 2
+	fields := strings.Repeat("a:\r\n", 500)
+	for _, tt := range []struct {
+		name   string
+		before string // arrives before the previous request has been answered
+		text   string
+		want   int // lines
+		ended  bool
+	}{
+		{"ordinary", "", head + "\r\n", lines, true},
+		{"without end", "", head + fields, lines + 500, false},
+		{"with a body", "", head + fields + "\r\n" + strings.Repeat("\n", 5000), lines + 500, true},
+		{"line feeds only", "", strings.ReplaceAll(head+fields, "\r", "") + "\n\n", lines + 500, true},
+		{"empty lines first", "", "\r\n\r\n" + head + fields + "\r\n", lines + 502, true},
+		{"partly read ahead", head + "\r\n" + head + fields, fields, 2*lines + 1 + 1000, false},
+		{"after a large body", strings.Repeat("\n", 50_000) + strings.Repeat("x", 2*readAhead), head + "\r\n", lines, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := &Head{}
+			add := func(text string) {
+				for n := 0; n < len(text); n += 100 {
+					h.Add([]byte(text[n:min(n+100, len(text))]))
+				}
+			}
+			if tt.before != "" {
+				add(tt.before)
+				h.End()
+				h.Next()
+			}
+			add(tt.text)
+			is.Equal(h.Ended(), tt.ended)
+			is.Equal(h.Bytes(), int64(max(0, tt.want-freeHeadLines)*FieldBytes))
+			h.End()
+			add(fields)
+			is.Equal(h.Bytes(), int64(max(0, tt.want-freeHeadLines)*FieldBytes)) // the body is not counted
+		})
+	}
+}
--- a/internal/transport/guard/body.go
+++ b/internal/transport/guard/body.go
@@ -44,6 +44,11 @@
 			h.ServeHTTP(w, r)
 			return
 		}
+		if !c.endHead() {
+			g.report("refused_bodies", "fields")
+			refuse(w, c)
+			return
+		}
 		b := &body{}
 		defer b.release()
 		if r.ContentLength != 0 {
@@ -85,9 +90,7 @@
 		_ = c.SetReadDeadline(time.Time{})
 	case errors.Is(b.err, errBudget):
 		g.report("refused_bodies", "budget")
-		closeAfterAnswer(w, c)
-		w.Header().Set("Retry-After", strconv.Itoa(int(limit.RetryAfter.Seconds())))
-		http.Error(w, b.err.Error(), http.StatusServiceUnavailable)
+		refuse(w, c)
 		return nil, true
 	default:
 		reason := "incomplete"
@@ -104,6 +107,14 @@
 	return &withBody, false
 }
 
+// refuse answers that the budget has no room for the request, which has not been
+// executed.
+func refuse(w http.ResponseWriter, c *conn) {
+	closeAfterAnswer(w, c)
+	w.Header().Set("Retry-After", strconv.Itoa(int(limit.RetryAfter.Seconds())))
+	http.Error(w, errBudget.Error(), http.StatusServiceUnavailable)
+}
+
 // closeAfterAnswer makes the server close the connection after the answer, and
 // read and discard the body only for a short time before.
 func closeAfterAnswer(w http.ResponseWriter, c *conn) {
--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -123,6 +123,45 @@
 	}
 }
 
+// TestHeadsOfManyFieldsAreCharged guards against heads whose fields take more memory
+// than the budget has, and against fields that are never given back.
+func TestHeadsOfManyFieldsAreCharged(t *testing.T) {
+	is := is.New(t)
+	budget := limit.NewBudget(1 << 20)
+	g, addr := start(t, 10, Rule{Budget: budget, MaxBytes: 65536}, func() {})
+	g.Heads = budget
+	fields := strings.Repeat("a:\r\n", 1500)
+	post := func(fields string) *http.Response {
+		c := dial(t, addr)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"+fields+"\r\nx")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		return resp
+	}
+	is.Equal(post(fields).StatusCode, http.StatusOK) // without a crowd
+	for end := time.Now().Add(10 * time.Second); budget.Used() > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // the bytes are given back
+	}
+	held := dial(t, addr)
+	_, err := io.WriteString(held, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"+fields+"\r\n")
+	is.NoErr(err)
+	for end := time.Now().Add(10 * time.Second); budget.Used() < 1400*limit.FieldBytes; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // the head has arrived
+	}
+	refused := post(fields)
+	is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(refused.Header.Get("Retry-After"), "1")
+	is.True(refused.Close)
+	is.Equal(post("").StatusCode, http.StatusOK) // an ordinary head
+	unended := dial(t, addr)
+	_, err = io.WriteString(unended, "POST / HTTP/1.1\r\nHost: h\r\n"+fields)
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(unended), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // before its end
+}
+
 // TestExecutedRequestsKeepTheirConnections guards against a flood of connections
 // that cuts off requests under way, and against one that keeps its descriptors.
 func TestExecutedRequestsKeepTheirConnections(t *testing.T) {
@@ -192,7 +231,7 @@
 	is.Equal(n, int64(0))
 	n, err = check("\x08\x96\x01"+"\x12\x03abc"+"\x1d1234"+"\x2112345678"+strings.Repeat("\x1a\x00", 1000), nil)
 	is.NoErr(err)
-	is.Equal(n, int64(1004*peerFieldBytes))
+	is.Equal(n, int64(1004*limit.FieldBytes))
 	for _, bad := range []string{
 		strings.Repeat("\x1a\x00", maxPeerFields+1), "\x12\x05abc" /* ends early */, "\x0b" /* a group */, "\x12", "\x08",
 	} {
@@ -215,7 +254,7 @@
 	}
 	n, err = check(encode(maxPeerFields-1, 1), forward) // as many as a head can have
 	is.NoErr(err)
-	is.Equal(n, int64((2*maxPeerFields-1)*peerFieldBytes))
+	is.Equal(n, int64((2*maxPeerFields-1)*limit.FieldBytes))
 	_, err = check(encode(2, maxPeerFields/2+1), forward)
 	is.True(err != nil)
 	_, err = check("\x4a\x04\x12\x05ab", forward) // a value that ends behind its header
--- a/internal/transport/guard/listen.go
+++ b/internal/transport/guard/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +22,7 @@
 type Guard struct {
 	Name   string // of the kind of client, for logs and metrics
 	Conns  *limit.Conns
+	Heads  *limit.Budget // for the fields of heads beyond ordinary ones
 	Meter  *meter.Set
 	Prefix string // of the names of metrics, may be empty
 	Logger zerolog.Logger
@@ -40,12 +42,79 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if c, ok := c.(*conn); ok && state == http.StateIdle {
+				c.nextHead()
 				g.Conns.Idle(c.entry)
 			}
 		},
 	}
 }
 
+// readHead counts bytes that have arrived, and reports whether the head has ended and
+// whether the budget had room for it.
+func (c *conn) readHead(p []byte) (ended, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Add(p)
+	return c.head.Ended(), c.chargeHead()
+}
+
+// endHead records that the head has ended, and reports whether the budget had room for
+// it.
+func (c *conn) endHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.End()
+	return c.chargeHead()
+}
+
+// refuseHead answers that the budget has no room for a head that has not ended, and
+// reads and discards the rest for a short time, into p. It returns an error of a type
+// to which net/http does not answer.
+func (c *conn) refuseHead(p []byte) error {
+	c.guard.report("refused_bodies", "fields")
+	end := time.Now().Add(limit.LingerTimeout)
+	// Errors mean that the client has gone.
+	_ = c.Conn.SetDeadline(end)
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: %d\r\nContent-Length: 0\r\n\r\n", int(limit.RetryAfter.Seconds()))
+	_ = c.CloseWrite()
+	for {
+		if _, err := c.Conn.Read(p); err != nil {
+			return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errBudget}
+		}
+	}
+}
+
+// nextHead records that the next head follows.
+func (c *conn) nextHead() {
+	c.releaseHead(0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Next()
+}
+
+// chargeHead charges what the head's fields take. The caller must hold mu.
+func (c *conn) chargeHead() bool {
+	more := c.head.Bytes() - c.charged
+	if c.guard.Heads == nil || c.charged < 0 || more <= 0 {
+		return true
+	}
+	if !c.guard.Heads.TakeLarge(more) {
+		return false
+	}
+	c.charged += more
+	return true
+}
+
+// releaseHead gives back what has been charged for the head, and sets charged.
+func (c *conn) releaseHead(charged int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.charged > 0 {
+		c.guard.Heads.ReleaseLarge(c.charged)
+	}
+	c.charged = charged
+}
+
 // Listener returns a listener that accepts the connections of l and closes one
 // for each beyond the limit.
 func (g *Guard) Listener(l net.Listener) net.Listener {
@@ -101,6 +170,11 @@
 	entry   *limit.Conn
 	began   bool // a byte has arrived; not written after that
 	removed sync.Once
+
+	// mu guards the fields below, since net/http reads while a handler runs.
+	mu      sync.Mutex
+	head    limit.Head
+	charged int64 // bytes of Guard.Heads, -1 if the connection has been removed
 }
 
 // Read implements net.Conn.
@@ -112,6 +186,9 @@
 			_ = c.Conn.SetReadDeadline(time.Now().Add(limit.HeadTimeout)) // it fails only on a closed connection
 		}
 		c.guard.Conns.Begin(c.entry)
+		if ended, ok := c.readHead(p[:n]); !ok && !ended {
+			return 0, c.refuseHead(p)
+		}
 	}
 	return n, err
 }
@@ -148,6 +225,7 @@
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.removed.Do(func() {
+		c.releaseHead(-1)
 		c.guard.Conns.Remove(c.entry)
 		c.guard.mu.Lock()
 		delete(c.guard.conns, c.entry)
--- a/internal/transport/guard/peers.go
+++ b/internal/transport/guard/peers.go
@@ -28,10 +28,6 @@
 	// each worker, or for each header of at least four bytes in the 20 KiB that net/http
 	// reads of a head, with as many elements for the headers' values.
 	maxPeerFields = 5 << 10
-	// peerFieldBytes is the memory that each of them takes beside the body. It is charged
-	// to the budget, since a crowd of short messages would otherwise take most memory
-	// while they wait for their turn.
-	peerFieldBytes = 256
 	// maxPeerJSONBytes is the largest body in JSON, which twirp serves too and no
 	// instance sends. It can't be checked before it is decoded, to some 70 times its
 	// size. Longer bodies take more than a time slice to decode, so that all that are
@@ -70,14 +66,15 @@
 }
 
 // checkMessage returns the memory that decoding an encoded message takes beside its
-// size, or an error for a message with more fields than maxPeerFields or whose fields
+// size, which is charged since a crowd of short messages would otherwise take most
+// memory while they wait for their turn, or an error for a message with more fields than maxPeerFields or whose fields
 // can't be told apart. Without a descriptor it looks into no field.
 func checkMessage(body io.Reader, message protoreflect.MessageDescriptor) (int64, error) {
 	c := &fieldCounter{r: bufio.NewReader(body)}
 	if err := c.count(message, maxMessageBytes, 0); err != nil {
 		return 0, errors.Wrap(err, "read field of message")
 	}
-	return int64(c.fields+c.elements) * peerFieldBytes, nil
+	return int64(c.fields+c.elements) * limit.FieldBytes, nil
 }
 
 // maxMessageBytes means that a message ends with the body.
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -109,8 +109,10 @@
 		i.addr = listener.Addr().String()
 	}
 	limits := limit.Derive(settings.MemoryMB<<20, settings.MaxFDs)
-	i.guard = &guard.Guard{Name: "clients", Conns: limit.NewConns(limits.ClientConns), Meter: i.metrics, Prefix: "tamaracklink_", Logger: i.logger}
 	i.clientBodies, i.peerBodies, i.decoders = limit.NewBudget(limits.BodyBytes), limit.NewBudget(limits.BodyBytes), make(guard.Slots, limit.Decoders)
+	i.guard = &guard.Guard{
+		Name: "clients", Conns: limit.NewConns(limits.ClientConns), Heads: i.clientBodies, Meter: i.metrics, Prefix: "tamaracklink_", Logger: i.logger,
+	}
 	i.buildComponents()
 	return i, nil
 }
