internal/transport/guard: bound the receive buffers of clients

What callers saw: nothing yet on the deployments; the platform counts bytes that have arrived and were not read as memory of a process, and ends it above its limit.

Cause: the system lets each connection hold some megabytes of unread bytes. While the processor is busy or bodies wait for the decoders, hundreds of connections fill up.

The change: listeners have receive buffers of 8 KiB, and of 32 KiB for other instances, which send bodies of up to 1 MiB; Linux doubles both.

Conclusion: unread bytes grow with the connections only, which are bounded.

--- a/internal/command/oper/limits.go
+++ b/internal/command/oper/limits.go
@@ -28,12 +28,13 @@
 func newSiteGuards(memory, fds int64, m *meter.Set, logger zerolog.Logger) *siteGuards {
 	limits := limit.Derive(memory, fds)
 	clientBodies, peerBodies := limit.NewBudget(limits.BodyBytes), limit.NewBudget(limits.BodyBytes)
-	newGuard := func(name string, conns int, heads *limit.Budget) *guard.Guard {
-		return &guard.Guard{Name: name, Conns: limit.NewConns(conns), Heads: heads, Meter: m, Logger: logger}
+	newGuard := func(name string, conns, receiveBytes int, heads *limit.Budget) *guard.Guard {
+		return &guard.Guard{Name: name, Conns: limit.NewConns(conns), Heads: heads, ReceiveBytes: receiveBytes, Meter: m, Logger: logger}
 	}
 	return &siteGuards{
-		callers: newGuard("callers", limits.ClientConns, clientBodies), peers: newGuard("peers", limits.PeerConns, peerBodies),
-		probes:       newGuard("probes", limits.ProbeConns, clientBodies),
+		callers:      newGuard("callers", limits.ClientConns, limit.ReceiveBytes, clientBodies),
+		peers:        newGuard("peers", limits.PeerConns, limit.PeerReceiveBytes, peerBodies),
+		probes:       newGuard("probes", limits.ProbeConns, limit.ReceiveBytes, clientBodies),
 		clientBodies: clientBodies, peerBodies: peerBodies,
 		decoders: make(guard.Slots, limit.Decoders), meter: m,
 	}
--- a/internal/state/limit/derive.go
+++ b/internal/state/limit/derive.go
@@ -24,6 +24,13 @@
 	// that stop short give their bytes back within BodyTimeout, and a second is the
 	// shortest time that the header can express.
 	RetryAfter = time.Second
+	// ReceiveBytes is the size of a connection's receive buffer, which Linux doubles.
+	// Bytes that have arrived and were not read count as memory of the process, and by
+	// default a connection may hold some megabytes of them.
+	ReceiveBytes = 8 << 10
+	// PeerReceiveBytes is the same for other instances, which send large bodies to each
+	// other and wait for them.
+	PeerReceiveBytes = 32 << 10
 	// Decoders is the number of bodies that are decoded at a time. Decoding takes
 	// several times a body's size.
 	Decoders = 2
--- a/internal/transport/guard/listen.go
+++ b/internal/transport/guard/listen.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"github.com/tamaracklink/tamaracklink/internal/state/limit"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
@@ -20,12 +22,15 @@
 // Guard limits the connections and bodies of one kind of client of a process. Its
 // exported fields must be set before it is used and not change.
 type Guard struct {
-	Name   string // of the kind of client, for logs and metrics
-	Conns  *limit.Conns
-	Heads  *limit.Budget // for the fields of heads beyond ordinary ones
-	Meter  *meter.Set
-	Prefix string // of the names of metrics, may be empty
-	Logger zerolog.Logger
+	Name  string // of the kind of client, for logs and metrics
+	Conns *limit.Conns
+	Heads *limit.Budget // for the fields of heads beyond ordinary ones
+	// ReceiveBytes is the size of a connection's receive buffer; 0 leaves it to the
+	// system.
+	ReceiveBytes int
+	Meter        *meter.Set
+	Prefix       string // of the names of metrics, may be empty
+	Logger       zerolog.Logger
 
 	mu     sync.Mutex            // guards the fields below
 	conns  map[*limit.Conn]*conn // open ones of all listeners
@@ -118,9 +123,33 @@
 // Listener returns a listener that accepts the connections of l and closes one
 // for each beyond the limit.
 func (g *Guard) Listener(l net.Listener) net.Listener {
+	if err := g.setReceiveBuffer(l); err != nil {
+		g.Logger.Warn().Err(err).Str("clients", g.Name).Msg("guard: receive buffers keep the system's size")
+	}
 	return &listener{Listener: l, guard: g}
 }
 
+// setReceiveBuffer sets the size of the receive buffer of l, which the connections that
+// it accepts inherit.
+func (g *Guard) setReceiveBuffer(l net.Listener) error {
+	socket, ok := l.(syscall.Conn)
+	if !ok || g.ReceiveBytes == 0 {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, g.ReceiveBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
 type listener struct {
 	net.Listener
 	guard *Guard
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -111,7 +111,7 @@
 	limits := limit.Derive(settings.MemoryMB<<20, settings.MaxFDs)
 	i.clientBodies, i.peerBodies, i.decoders = limit.NewBudget(limits.BodyBytes), limit.NewBudget(limits.BodyBytes), make(guard.Slots, limit.Decoders)
 	i.guard = &guard.Guard{
-		Name: "clients", Conns: limit.NewConns(limits.ClientConns), Heads: i.clientBodies, Meter: i.metrics, Prefix: "tamaracklink_", Logger: i.logger,
+		Name: "clients", Conns: limit.NewConns(limits.ClientConns), Heads: i.clientBodies, ReceiveBytes: limit.ReceiveBytes, Meter: i.metrics, Prefix: "tamaracklink_", Logger: i.logger,
 	}
 	i.buildComponents()
 	return i, nil
