internal/state/limit, internal/transport/guard: unread connections make room

What callers saw: clients that do not read their answers kept their connections for 30 s a write, and for any time if they read a little; new connections were closed.

Cause: a connection counts as executed, which is never closed, until its answer has been written. A client that sends requests and reads nothing fills the buffers, and the write waits.

The change: after a second in a write the connection counts as unread, until the client goes on to read. Unread connections are the first that are closed when there are too many. Ordinary answers fit into the buffers, so their writes do not wait.

Ruled out: a shorter limit of the write; a slow client alone may take its time.

TestUnreadConnectionsMakeRoom has the order.

Conclusion: clients that do not read cannot keep connections that others need.

--- a/internal/state/limit/conns.go
+++ b/internal/state/limit/conns.go
@@ -9,13 +9,14 @@
 const (
 	ReasonIncomplete = "incomplete" // its head or body was not complete
 	ReasonIdle       = "idle"       // it had no request
+	ReasonUnread     = "unread"     // its client did not read the answer
 )
 
 // Conn is one connection. A connection is incomplete from its first byte, or from
 // its acceptance, until its request has arrived; then its request is executed;
-// then it is idle.
+// then it is idle. It is unread while its client does not read the answer.
 type Conn struct {
-	list   *list.List    // of the connections in the same state, nil while a request is executed
+	list   *list.List    // of the connections in the same state, nil while a request is executed and the answer is read
 	place  *list.Element // in list
 	closed bool          // it is closed, or chosen to be closed
 }
@@ -29,19 +30,21 @@
 	open       int
 	incomplete *list.List // of *Conn, those whose head began first at the front
 	idle       *list.List // of *Conn, those idle for longest at the front
+	unread     *list.List // of *Conn, those unread for longest at the front
 }
 
 // NewConns returns an empty set that allows so many connections.
 func NewConns(limit int) *Conns {
-	return &Conns{limit: limit, incomplete: list.New(), idle: list.New()}
+	return &Conns{limit: limit, incomplete: list.New(), idle: list.New(), unread: list.New()}
 }
 
 // Accept adds a connection. If there are too many now, it also returns the one to
-// close and the reason: the incomplete one that began first if more connections are
-// incomplete than idle, and else the one idle for longest. Otherwise idle connections
-// that use up the limit would stay while requests that arrive at the same time close
-// each other's connections. The victim may be the new connection itself, but never
-// one whose request is executed. The caller must close it; it counts until Remove.
+// close and the reason: the one unread for longest; if there is none, the incomplete one
+// that began first if more connections are incomplete than idle, and else the one idle
+// for longest. Otherwise idle connections that use up the limit would stay while requests
+// that arrive at the same time close each other's connections. The victim may be the new
+// connection itself, but never one whose request is executed and whose client reads the
+// answer. The caller must close it; it counts until Remove.
 func (s *Conns) Accept() (c, victim *Conn, reason string) {
 	c = &Conn{}
 	s.mu.Lock()
@@ -51,16 +54,24 @@
 	if s.open <= s.limit {
 		return c, nil, ""
 	}
-	if front := s.incomplete.Front().Value.(*Conn); front != c && s.incomplete.Len() > s.idle.Len() || s.idle.Len() == 0 {
-		victim, reason = front, ReasonIncomplete
-	} else {
-		victim, reason = s.idle.Front().Value.(*Conn), ReasonIdle
-	}
+	victim, reason = s.choose(c)
 	s.leave(victim)
 	victim.closed = true
 	return c, victim, reason
 }
 
+// choose returns the connection to close, where newest has been accepted last, and the
+// reason. The caller must hold mu.
+func (s *Conns) choose(newest *Conn) (victim *Conn, reason string) {
+	if s.unread.Len() > 0 {
+		return s.unread.Front().Value.(*Conn), ReasonUnread
+	}
+	if front := s.incomplete.Front().Value.(*Conn); front != newest && s.incomplete.Len() > s.idle.Len() || s.idle.Len() == 0 {
+		return front, ReasonIncomplete
+	}
+	return s.idle.Front().Value.(*Conn), ReasonIdle
+}
+
 // Begin records that a part of a request has arrived.
 func (s *Conns) Begin(c *Conn) {
 	s.mu.Lock()
@@ -82,6 +93,24 @@
 	return true
 }
 
+// Unread records that a part of the answer has not been read for some time.
+func (s *Conns) Unread(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.closed && c.list == nil {
+		s.move(c, s.unread)
+	}
+}
+
+// Read records that a part of the answer has been read after all.
+func (s *Conns) Read(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.list == s.unread {
+		s.leave(c)
+	}
+}
+
 // Idle records that a request has been answered.
 func (s *Conns) Idle(c *Conn) {
 	s.mu.Lock()
--- a/internal/state/limit/derive.go
+++ b/internal/state/limit/derive.go
@@ -17,6 +17,9 @@
 	// WriteTimeout limits each write of an answer, so that a client that reads
 	// nothing does not keep its connection.
 	WriteTimeout = 30 * time.Second
+	// UnreadTimeout is how long a write of an answer may take before the connection may
+	// be closed to make room for others. Ordinary answers fit into the buffers.
+	UnreadTimeout = time.Second
 	// LingerTimeout is how long the rest of a refused body is read and discarded. A
 	// connection that is closed while its client sends may lose the answer.
 	LingerTimeout = 500 * time.Millisecond
--- a/internal/state/limit/limit_test.go
+++ b/internal/state/limit/limit_test.go
@@ -76,6 +76,34 @@
 	}
 }
 
+// TestUnreadConnectionsMakeRoom guards against clients that use up the limit by not
+// reading answers.
+func TestUnreadConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := NewConns(3)
+	var conns []*Conn
+	for range 3 {
+		c, _, _ := s.Accept()
+		is.True(s.Execute(c))
+		conns = append(conns, c)
+	}
+	s.Unread(conns[0])
+	s.Unread(conns[1])
+	s.Read(conns[0]) // its client goes on
+	newest, victim, reason := s.Accept()
+	is.Equal(victim, conns[1])
+	is.Equal(reason, ReasonUnread)
+	s.Unread(victim) // it has been chosen already
+	s.Read(victim)
+	s.Remove(victim)
+	is.True(s.Execute(newest))
+	s.Idle(newest)
+	s.Unread(newest) // its answer has been written
+	_, victim, reason = s.Accept()
+	is.Equal(victim, newest)
+	is.Equal(reason, ReasonIdle)
+}
+
 // TestBudgetKeepsRoomForSmallBodies guards against large bodies that use up the
 // room of ordinary ones, and against bytes that are never given back.
 func TestBudgetKeepsRoomForSmallBodies(t *testing.T) {
--- a/internal/transport/guard/listen.go
+++ b/internal/transport/guard/listen.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 
@@ -235,7 +237,19 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(limit.WriteTimeout)); err != nil {
+	began := time.Now()
+	n, err := c.writeUntil(p, began.Add(limit.UnreadTimeout))
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	c.guard.Conns.Unread(c.entry)
+	defer c.guard.Conns.Read(c.entry)
+	more, err := c.writeUntil(p[n:], began.Add(limit.WriteTimeout))
+	return n + more, err
+}
+
+func (c *conn) writeUntil(p []byte, end time.Time) (int, error) {
+	if err := c.SetWriteDeadline(end); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
