internal/state/limit, internal/transport/guard: one request a connection in a crowd

What callers saw: while some hundred clients sent one slow request after another on open connections, an ordinary caller's connections were closed for a minute and more.

Cause: a connection whose request is executed is not closed, so the new connection is. With requests that take long, such as the state of an unknown job, for which the ledger is read to its end, nearly all connections are executed at any time, and their clients keep them.

The change: once a new connection had to be closed because all others were executed, connections are closed after their current answer, until a quarter of them is free. New clients then get connections as often as those of the crowd.

Ruled out: closing executed reads, since under an ordinary overload each would be closed shortly before its answer.

TestCrowdedConnectionsServeOneRequest has the rule.

Conclusion: no client keeps a connection by sending requests while others get none.

--- a/internal/state/limit/conns.go
+++ b/internal/state/limit/conns.go
@@ -31,6 +31,7 @@
 	incomplete *list.List // of *Conn, those whose head began first at the front
 	idle       *list.List // of *Conn, those idle for longest at the front
 	unread     *list.List // of *Conn, those unread for longest at the front
+	crowded    bool       // a new connection was closed since all others were executed
 }
 
 // NewConns returns an empty set that allows so many connections.
@@ -55,6 +56,7 @@
 		return c, nil, ""
 	}
 	victim, reason = s.choose(c)
+	s.crowded = s.crowded || victim == c
 	s.leave(victim)
 	victim.closed = true
 	return c, victim, reason
@@ -128,6 +130,18 @@
 	s.leave(c)
 	c.closed = true
 	s.open--
+	if s.open <= s.limit*3/4 {
+		s.crowded = false
+	}
+}
+
+// Crowded reports whether connections should be closed after their current request.
+// Otherwise clients that send one request after another would keep all connections,
+// and new clients would get none.
+func (s *Conns) Crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crowded
 }
 
 // Open returns the number of connections.
--- a/internal/state/limit/limit_test.go
+++ b/internal/state/limit/limit_test.go
@@ -104,6 +104,26 @@
 	is.Equal(reason, ReasonIdle)
 }
 
+// TestCrowdedConnectionsServeOneRequest guards against clients that keep all connections
+// by sending one request after another.
+func TestCrowdedConnectionsServeOneRequest(t *testing.T) {
+	is := is.New(t)
+	s := NewConns(4)
+	var conns []*Conn
+	for range 4 {
+		c, _, _ := s.Accept()
+		is.True(s.Execute(c))
+		conns = append(conns, c)
+	}
+	is.True(!s.Crowded()) // nobody was turned away
+	newest, victim, _ := s.Accept()
+	is.Equal(victim, newest)
+	s.Remove(newest)
+	is.True(s.Crowded())
+	s.Remove(conns[0])
+	is.True(!s.Crowded()) // a quarter is free
+}
+
 // TestBudgetKeepsRoomForSmallBodies guards against large bodies that use up the
 // room of ordinary ones, and against bytes that are never given back.
 func TestBudgetKeepsRoomForSmallBodies(t *testing.T) {
--- a/internal/transport/guard/body.go
+++ b/internal/transport/guard/body.go
@@ -60,6 +60,9 @@
 		if !g.Conns.Execute(c.entry) {
 			panic(http.ErrAbortHandler) // the connection has been closed
 		}
+		if g.Conns.Crowded() {
+			w.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(w, r)
 	})
 }
