internal/state/route: waiting requests leave connections to others

Cause: a waiting request keeps its connection, which is never closed, and the bound of waiting requests, 4,096 and 256 for a tenant, is fixed, while the connections are derived from the machine.

The change: at most half as many requests wait as there are connections of clients, and 4,096 as before.

Conclusion: an instance with a full queue still answers.

--- a/internal/coordination/entry/router.go
+++ b/internal/coordination/entry/router.go
@@ -21,6 +21,7 @@
 // Config configures a Router. Its functions connect it to the other packages.
 type Config struct {
 	Instance      string
+	MaxWaiting    int                                      // requests that may wait for a slot; 0 means route.DefaultMaxWaiting
 	OwnedMinions  func(now time.Time) map[string]time.Time // returns the owned minions with the time until which requests may be dispatched to each
 	ListedMinions func() []member.Instance                 // the listed minions of the domain
 	Model         func() (config.Model, uint64)            // the configuration and its version
@@ -78,7 +79,7 @@
 // New returns a Router without minions. Run must be called to start it.
 func New(cfg Config) *Router {
 	return &Router{
-		cfg: cfg, done: make(chan struct{}), wg: parts.New(), pool: route.NewPool(route.ChooseExpectedFinish, 1), queue: route.NewQueue(),
+		cfg: cfg, done: make(chan struct{}), wg: parts.New(), pool: route.NewPool(route.ChooseExpectedFinish, 1), queue: route.NewQueue(cfg.MaxWaiting),
 		budget: route.NewBudget(), inFlight: map[string]*attempt{},
 	}
 }
--- a/internal/state/route/queue.go
+++ b/internal/state/route/queue.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"sort"
 	"time"
 )
@@ -33,7 +34,7 @@
 const (
 	DefaultTenantLimit = 256  // waiting requests of one tenant, where nothing else is set
 	patientPopInterval = 6    // one pop in patientPopInterval tries patient requests first, so that they make progress
-	maxWaiting         = 4096 // waiting requests of all tenants
+	DefaultMaxWaiting  = 4096 // waiting requests of all tenants, where nothing else is set
 )
 
 // Reasons for which Push refuses a request. A refused request was not run.
@@ -68,6 +69,7 @@
 // priority; within a class, tenants are served in proportion to their shares. It
 // is not safe for concurrent use.
 type Queue struct {
+	maxWaiting  int
 	tenants     map[string]*tenantQueue
 	tenantNames []string // sorted, so that ties are always broken the same way
 	waiting     [3]int   // by priority
@@ -83,8 +85,10 @@
 	requests [3][]*Waiter
 }
 
-// NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{tenants: map[string]*tenantQueue{}} }
+// NewQueue returns an empty queue for so many requests, DefaultMaxWaiting if 0.
+func NewQueue(maxWaiting int) *Queue {
+	return &Queue{maxWaiting: cmp.Or(maxWaiting, DefaultMaxWaiting), tenants: map[string]*tenantQueue{}}
+}
 
 // tenantFor returns the queue of a tenant. An unknown tenant is added with share
 // 1 and the default limit.
@@ -128,7 +132,7 @@
 	switch {
 	case t.waiting >= t.limit:
 		return RefusedTenantQueueFull
-	case q.Len() >= maxWaiting:
+	case q.Len() >= q.maxWaiting:
 		return RefusedQueueFull
 	case q.cannotStartInTime(w, t, now, rate):
 		return RefusedDeadlineNotReachable
--- a/internal/state/route/sim_test.go
+++ b/internal/state/route/sim_test.go
@@ -127,7 +127,7 @@
 		count = 1
 	}
 	for i := range count {
-		sim.instances = append(sim.instances, &instance{pool: route.NewPool(s.selection, uint64(i)), queue: route.NewQueue(), requests: map[string]*request{}})
+		sim.instances = append(sim.instances, &instance{pool: route.NewPool(s.selection, uint64(i)), queue: route.NewQueue(0), requests: map[string]*request{}})
 	}
 	for _, inst := range sim.instances {
 		inst.reports = make([]loadReport, len(sim.instances))
--- a/internal/transport/server/instance.go
+++ b/internal/transport/server/instance.go
@@ -26,6 +26,7 @@
 	"github.com/tamaracklink/tamaracklink/internal/state/errs"
 	"github.com/tamaracklink/tamaracklink/internal/state/limit"
 	"github.com/tamaracklink/tamaracklink/internal/state/meter"
+	"github.com/tamaracklink/tamaracklink/internal/state/route"
 	"github.com/tamaracklink/tamaracklink/internal/state/work"
 	"github.com/tamaracklink/tamaracklink/internal/transport/guard"
 )
@@ -113,7 +114,7 @@
 	i.guard = &guard.Guard{
 		Name: "clients", Conns: limit.NewConns(limits.ClientConns), Heads: i.clientBodies, ReceiveBytes: limit.ReceiveBytes, Meter: i.metrics, Prefix: "tamaracklink_", Logger: i.logger,
 	}
-	i.buildComponents()
+	i.buildComponents(min(route.DefaultMaxWaiting, limits.ClientConns/2))
 	return i, nil
 }
 
@@ -123,7 +124,9 @@
 // Done returns a channel that is closed when Run has returned.
 func (i *Instance) Done() <-chan struct{} { return i.done }
 
-func (i *Instance) buildComponents() {
+// buildComponents sets the components. Of the requests, maxWaiting may wait for a slot,
+// so that they leave connections to others.
+func (i *Instance) buildComponents(maxWaiting int) {
 	i.platformHTTP = plat.NewHTTPClient(i.settings.Domain, i.env.Dial)
 	i.platformClient = plat.New(i.settings.Platform, i.settings.Domain, i.platformHTTP)
 	i.platformClient.Logger = i.logger
@@ -150,7 +153,7 @@
 		Now: i.now, Logger: i.logger,
 	})
 	i.router = entry.New(entry.Config{
-		Instance: i.settings.Instance, OwnedMinions: i.domain.OwnedMinions,
+		Instance: i.settings.Instance, MaxWaiting: maxWaiting, OwnedMinions: i.domain.OwnedMinions,
 		ListedMinions: func() []member.Instance { return i.memberView.Instances(member.KindMinion) }, Model: i.configView.Model,
 		Send: i.minionClient.Send, QueryLoad: i.minionClient.Load, CloseIdle: i.minionClient.CloseIdle, Helper: i.memberView.Helper,
 		OfferSlots: func(now time.Time) { i.memberView.OfferSlots(i.runCtx, now) }, QuerySlots: func() { i.memberView.QuerySlots(i.runCtx) }, RecordForward: i.memberView.RecordForward,
