internal/coordination/core: bound the calls that wait for answers

What callers saw: some fifty calls of Cell/Answers that name a long wait kept all connections of other instances and operators; GET /site was never answered.

Cause: the caller chooses how long the call waits, without a bound, and a call that is executed keeps its connection.

The change: a call waits at most a second, which is what a leader asks for, and at most eight wait at a time; a newer one ends the oldest, which returns no answers. A leader makes one such call, so with the old leader of a change there are two.

Ruled out: refusing the newest, as a crowd would keep the leader out.

TestNewerPollsEndOlderOnes.

Conclusion: waiting for answers takes eight connections at most.

--- a/internal/coordination/core/relay_batch_test.go
+++ b/internal/coordination/core/relay_batch_test.go
@@ -23,3 +23,24 @@
 	orders[0].Payload = strings.Repeat("x", 2*maxRelayBytes)
 	is.Equal(fittingOrders(orders), 1) // goes by itself
 }
+
+// TestNewerPollsEndOlderOnes guards against callers that use up the connections of other
+// instances by waiting for answers.
+func TestNewerPollsEndOlderOnes(t *testing.T) {
+	is := is.New(t)
+	rs := &relayServer{}
+	var polls []chan struct{}
+	for range maxPolls + 1 {
+		polls = append(polls, rs.beginPoll())
+	}
+	<-polls[0]
+	for _, p := range polls {
+		rs.endPoll(p)
+	}
+	is.Equal(len(rs.polls), 0)
+	select {
+	case <-polls[1]:
+		t.Error("a call within the limit has been ended")
+	default:
+	}
+}
--- a/internal/coordination/core/relay_server.go
+++ b/internal/coordination/core/relay_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,13 +32,17 @@
 	maxAnswersPerReply = 500
 	// sessionTTL is how long a leader's session is kept without a call from it.
 	sessionTTL = 10 * time.Second
+	// maxPolls is the number of calls of AwaitAnswers that wait at the same time. A
+	// leader makes one, and there is rarely a second leader.
+	maxPolls = 8
 )
 
 // relayServer keeps the answers to relayed orders until the leader acknowledges
 // them.
 type relayServer struct {
-	mu       sync.Mutex          // guards sessions and their fields
+	mu       sync.Mutex          // guards the fields below and those of sessions
 	sessions map[string]*session // by the leader's incarnation
+	polls    []chan struct{}     // of the calls of AwaitAnswers that wait, the oldest first; closing one ends the call
 }
 
 // session holds the answers for one leader.
@@ -70,6 +75,29 @@
 	return s
 }
 
+// beginPoll adds a call of AwaitAnswers and returns a channel that is closed when it must
+// end. If there are too many now, the oldest ends.
+func (rs *relayServer) beginPoll() chan struct{} {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	ended := make(chan struct{})
+	rs.polls = append(rs.polls, ended)
+	if len(rs.polls) > maxPolls {
+		close(rs.polls[0])
+		rs.polls = rs.polls[1:]
+	}
+	return ended
+}
+
+// endPoll removes a call that beginPoll has added, unless that has removed it.
+func (rs *relayServer) endPoll(ended chan struct{}) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if i := slices.Index(rs.polls, ended); i >= 0 {
+		rs.polls = slices.Delete(rs.polls, i, i+1)
+	}
+}
+
 func (rs *relayServer) add(s *session, a NumberedAnswer) {
 	rs.mu.Lock()
 	defer rs.mu.Unlock()
@@ -110,16 +138,18 @@
 
 // AwaitAnswers returns the answers to the leader's orders that follow the given
 // number, and the number of the last one. It acknowledges those up to the given
-// number, which are dropped. Without answers it waits for one until wait has
-// passed or ctx is done, and then gathers further ones for the given time, or
-// for defaultGatherTime if that is 0.
+// number, which are dropped. Without answers it waits for one until wait, at most
+// fetchWait, has passed, ctx is done or newer calls take its place, and then gathers
+// further ones for the given time, or for defaultGatherTime if that is 0.
 func (c *Core) AwaitAnswers(ctx context.Context, leader string, after uint64, wait, gather time.Duration) ([]NumberedAnswer, uint64) {
 	s := c.relayServer.session(leader, c.settings.Now())
 	if gather <= 0 {
 		gather = defaultGatherTime
 	}
-	t := time.NewTimer(wait)
+	t := time.NewTimer(min(wait, fetchWait))
 	defer t.Stop()
+	ended := c.relayServer.beginPoll()
+	defer c.relayServer.endPoll(ended)
 	for {
 		list, last, arrived := c.relayServer.answersAfter(s, after)
 		if len(list) > 0 {
@@ -130,6 +160,8 @@
 			time.Sleep(min(gather, maxGatherTime))
 		case <-t.C:
 			return nil, last
+		case <-ended:
+			return nil, last
 		case <-ctx.Done():
 			return nil, last
 		}
