internal/testing/abuse: clients that send little, something else, or valid requests without end

Cause: no test played connections without a byte, idle ones, other protocols, trailers, chunk extensions, bodies that wait for a continue, long paths, valid bodies of the largest size, forwarded requests that wait, or all of these together.

--- a/internal/testing/abuse/abuse_test.go
+++ b/internal/testing/abuse/abuse_test.go
@@ -238,7 +238,7 @@
 			t.Run(target.name+"/"+name, func(t *testing.T) {
 				p := newProcess(t, program, maxFDs)
 				t.Logf("before the crowd: peak memory %d MB", p.peakMB())
-				end := crowdNamed(t, name).gather(p.addrs[target.addr], target.path, target.more)
+				end := crowdNamed(name).gather(p.addrs[target.addr], target.path, target.more)
 				p.accept("an ordinary job, while the crowd's connections are open", p.body(2))
 				if target.probe != "" {
 					p.answer(p.addrs[cmp.Or(target.probeAddr, target.addr)], target.probe)
@@ -250,14 +250,10 @@
 	}
 }
 
-func crowdNamed(t *testing.T, name string) crowd {
-	t.Helper()
+// crowdNamed returns the crowd of a name, which must exist.
+func crowdNamed(name string) crowd {
 	all := slices.Concat(crowds, moreCrowds)
-	i := slices.IndexFunc(all, func(c crowd) bool { return c.name == name })
-	if i < 0 {
-		t.Fatalf("there is no crowd %q", name)
-	}
-	return all[i]
+	return all[slices.IndexFunc(all, func(c crowd) bool { return c.name == name })]
 }
 
 const (
@@ -330,7 +326,7 @@
 				{"operators", cellPath + "Submit", tt.peers},
 				{"callers", callPath, tt.callers},
 			} {
-				defer crowdNamed(t, crowd.name).gather(p.addrs[crowd.addr], crowd.path, "")()
+				defer crowdNamed(crowd.name).gather(p.addrs[crowd.addr], crowd.path, "")()
 			}
 			p.accept("an ordinary job, while the crowds' connections are open", p.body(2))
 			p.answer(p.addrs["readiness"], "/")
@@ -359,7 +355,7 @@
 		for _, crowd := range []string{slowHeads, fastHeads, fieldsReopened, slowReaders} {
 			t.Run(tt.name+"/"+crowd, func(t *testing.T) {
 				p := tt.newProcess(t, program, maxFDs)
-				end := crowdNamed(t, crowd).gather(p.addrs["callers"], tt.path, "")
+				end := crowdNamed(crowd).gather(p.addrs["callers"], tt.path, "")
 				defer end()
 				for n := range 2 {
 					p.stop(tt.signals...)
@@ -380,6 +376,25 @@
 	})
 }
 
+// TestSiteWithstandsOddClients guards against the same faults by clients that send
+// little, something else, or valid requests without end.
+func TestSiteWithstandsOddClients(t *testing.T) {
+	play(t, newSite, moreFDs, []target{
+		{name: "callers", addr: "callers", path: callPath, crowds: []string{silent, idleAfter, reconnecting, notHTTP, extensions, trailers, trailersNoEnd, expecting, longPaths, sameJob, allKinds}},
+		{name: "operators", addr: "operators", path: "/flows", probe: "/site", crowds: []string{silent, notHTTP, extensions, trailers, longPaths, allKinds}},
+		{name: "readiness", addr: "readiness", path: "/", probe: "/", crowds: []string{silent, idleAfter, notHTTP, expecting, allKinds}},
+	})
+}
+
+// TestServeWithstandsOddClients guards against the same faults of serve.
+func TestServeWithstandsOddClients(t *testing.T) {
+	play(t, newServe, moreFDs, []target{
+		{name: "callers", addr: "callers", path: runPath, more: runHeaders, probe: "/healthz", crowds: []string{silent, idleAfter, reconnecting, notHTTP, extensions, trailers, trailersNoEnd, expecting, longPaths, allKinds}},
+		{name: "operators", addr: "callers", path: "/v1/patches", probe: "/healthz", crowds: []string{patchesAtOnce}},
+		{name: "peers", addr: "callers", path: peerPath + "Forward", probe: "/healthz", crowds: []string{jsonHeaders, protoHeaders}},
+	})
+}
+
 // TestServeWithstandsFurtherUntrustedClients guards against the same faults on further
 // paths and with further contents.
 func TestServeWithstandsFurtherUntrustedClients(t *testing.T) {
--- a/internal/testing/abuse/crowds_test.go
+++ b/internal/testing/abuse/crowds_test.go
@@ -159,3 +159,86 @@
 	case <-c.closed:
 	}
 }
+
+// Names of further crowds.
+const (
+	silent        = "connections without a byte"
+	idleAfter     = "idle connections after a request"
+	reconnecting  = "connections opened and closed"
+	notHTTP       = "bytes that are no request"
+	extensions    = "chunk extensions without end"
+	trailers      = "trailers of many fields"
+	trailersNoEnd = "trailers without end"
+	expecting     = "bodies that wait for a continue"
+	longPaths     = "long escaped paths before incomplete bodies"
+	sameJob       = "largest valid bodies of one job"
+	jsonHeaders   = "forwarded headers in JSON of requests that wait"
+	protoHeaders  = "forwarded headers of requests that wait"
+	patchesAtOnce = "patches of many values at once"
+	allKinds      = "all kinds at once"
+)
+
+var (
+	// firstBytes are what programs send that speak something else.
+	firstBytes = []string{
+		"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + padding[:500],                                    // TLS
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + strings.Repeat("\x00\x00\x00\x04\x00\x00\x00\x00\x00", 1000), // HTTP/2 settings
+		strings.Repeat("\x00", 20000),
+		strings.Repeat("\r", 20000),
+		"GET / HTTP/9.9\r\n\r\n",
+	}
+	// validJob is a valid job as large as a body may be.
+	validJob = func() string {
+		const job = `{"steps":[{"count":1,"cpu":100,"mem_mb":100,"estimate_ms":100}]}`
+		return job + strings.Repeat(" ", bodyBytes-len(job))
+	}()
+	jsonHeaderBody  = `{"id":"r","tenant":"club","class":"patient","leftMs":600000,"method":"GET","path":"/","headers":[` + repeatTo(4096-120, func(i int) string { return `{},` }) + `{}]}`
+	protoHeaderBody = protoField(1, "r") + protoField(2, "club") + protoField(3, "patient") + "\x30" + string(binary.AppendUvarint(nil, 600000)) +
+		protoField(7, "GET") + protoField(8, "/") + strings.Repeat("\x4a\x00", 5000)
+	listPatchBody = `{"id":"p","operator":"o","base":0,"change":[` + strings.Repeat("[],", (bodyBytes-100)/3) + `[]]}`
+)
+
+func init() {
+	moreCrowds = append(moreCrowds, []crowd{
+		{name: silent, size: many, play: func(c *client) {}},
+		{name: idleAfter, size: many, play: func(c *client) { c.send(c.get()) }},
+		{name: reconnecting, size: many, again: true, play: func(c *client) {}},
+		{name: notHTTP, size: many, again: true, play: func(c *client) {
+			c.send(firstBytes[turn.Add(1)%int64(len(firstBytes))])
+			c.waitClosed()
+		}},
+		{name: extensions, size: some, again: true, play: func(c *client) {
+			if c.send(c.head("Transfer-Encoding: chunked\r\n\r\n1;")) {
+				c.repeat(padding[:65536], 0)
+			}
+		}},
+		{name: trailers, size: many, again: true, play: func(c *client) {
+			c.repeat(c.head("Transfer-Encoding: chunked\r\nTrailer: x\r\n\r\n2\r\n{}\r\n0\r\n"+fields[:3900]+"\r\n"), 10*time.Millisecond)
+		}},
+		{name: trailersNoEnd, size: many, play: func(c *client) {
+			c.send(c.head("Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n" + fields))
+		}},
+		{name: expecting, size: many, play: func(c *client) {
+			c.send(c.head(fmt.Sprintf("Expect: 100-continue\r\nContent-Length: %d\r\n\r\n", len(body))))
+			time.Sleep(100 * time.Millisecond)
+			c.send(body[:len(body)-1])
+		}},
+		{name: longPaths, size: many, play: func(c *client) {
+			c.send("POST " + c.path + "/" + strings.Repeat("%41", 5000) + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{")
+		}},
+		{name: sameJob, size: many, again: true, play: func(c *client) { c.repeat(c.whole(jsonKind, validJob), 0) }},
+		{name: jsonHeaders, size: many, again: true, play: func(c *client) {
+			c.send(c.whole(jsonKind, jsonHeaderBody))
+			c.waitClosed()
+		}},
+		{name: protoHeaders, size: many, again: true, play: func(c *client) {
+			c.send(c.whole(protoKind, protoHeaderBody))
+			c.waitClosed()
+		}},
+		{name: patchesAtOnce, size: few, play: func(c *client) { c.sendWhole(jsonKind, listPatchBody) }},
+		{name: allKinds, size: many, play: func(c *client) {
+			kinds := []string{wholeBodies, tinyChunks, largeChunks, manyFields, fieldsNoEnd, fieldsLater, bigHeads, expecting, longPaths, trailersNoEnd, silent}
+			crowdNamed(kinds[turn.Add(1)%int64(len(kinds))]).play(c)
+		}},
+	}...)
+}
