internal/transport/guard: skip messages without lists

Cause: the count of list elements looks into each order of a leader, which has no list.

The change: messages that contain no list are skipped as a whole.

--- a/internal/transport/guard/peers.go
+++ b/internal/transport/guard/peers.go
@@ -84,8 +84,9 @@
 type fieldCounter struct {
 	r        *bufio.Reader
 	offset   uint64
-	fields   int // of the message itself
-	elements int // of lists in the messages that it contains
+	fields   int                                     // of the message itself
+	elements int                                     // of lists in the messages that it contains
+	lists    map[protoreflect.MessageDescriptor]bool // results of hasLists
 }
 
 // ReadByte implements io.ByteReader.
@@ -163,7 +164,7 @@
 	if length > MaxPeerBytes {
 		return io.ErrUnexpectedEOF
 	}
-	if wireType == 2 && field != nil && field.Message() != nil {
+	if wireType == 2 && field != nil && c.hasLists(field.Message()) {
 		return noEOF(c.count(field.Message(), c.offset+length, depth+1))
 	}
 	n, err := c.r.Discard(int(length))
@@ -171,6 +172,29 @@
 	return noEOF(err)
 }
 
+// hasLists reports whether a message, or one that it contains, has a list. Others are
+// skipped as a whole, such as the orders of a leader. A nil message has none.
+func (c *fieldCounter) hasLists(message protoreflect.MessageDescriptor) bool {
+	if message == nil {
+		return false
+	}
+	has, known := c.lists[message]
+	if known {
+		return has
+	}
+	if c.lists == nil {
+		c.lists = map[protoreflect.MessageDescriptor]bool{}
+	}
+	c.lists[message] = false // while it is looked into, for messages that contain themselves
+	for i := range message.Fields().Len() {
+		if f := message.Fields().Get(i); f.IsList() || c.hasLists(f.Message()) {
+			c.lists[message] = true
+			break
+		}
+	}
+	return c.lists[message]
+}
+
 // noEOF returns err, or io.ErrUnexpectedEOF for io.EOF.
 func noEOF(err error) error {
 	if err == io.EOF {
