internal/state/limit: receive buffers of other instances of 16 KiB

Cause: with one processor, as on the platform's machines, the crowd on all ports took 41 MB and 47 MB of unread bytes, 88 of 96; the connections of other instances may hold 20 MB of these.

The change: 16 KiB, which Linux doubles, in place of 32. The test of all ports has a case with one processor.

Ruled out: fewer connections of other instances, which sites of 300 machines use.

--- a/internal/state/limit/derive.go
+++ b/internal/state/limit/derive.go
@@ -33,7 +33,7 @@
 	ReceiveBytes = 8 << 10
 	// PeerReceiveBytes is the same for other instances, which send large bodies to each
 	// other and wait for them.
-	PeerReceiveBytes = 32 << 10
+	PeerReceiveBytes = 16 << 10
 	// Decoders is the number of bodies that are decoded at a time. Decoding takes
 	// several times a body's size.
 	Decoders = 2
--- a/internal/testing/abuse/abuse_test.go
+++ b/internal/testing/abuse/abuse_test.go
@@ -256,6 +256,10 @@
 	return all[slices.IndexFunc(all, func(c crowd) bool { return c.name == name })]
 }
 
+// oneProcessor ends the names of cases with as many processors as the platform's
+// machines have.
+const oneProcessor = "with one processor"
+
 const (
 	cellPath   = "/twirp/tamaracklink.cell.Cell/"
 	peerPath   = "/twirp/tamaracklink.peer.Peer/"
@@ -316,8 +320,12 @@
 		{"bodies", pieces, tinyChunks, wholeBodies, tinyChunks, pieces},
 		{"heads", manyFields, fieldsNoEnd, manyFields, manyFields, fieldsNoEnd},
 		{"bodies and heads", wholeBodies, manyFields, largeChunks, slowHeads, neverReaders},
+		{oneProcessor, pieces, tinyChunks, wholeBodies, tinyChunks, pieces},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			if tt.name == oneProcessor {
+				t.Setenv("GOMAXPROCS", "1") // for the process under test
+			}
 			p := newSite(t, program, moreFDs)
 			for _, crowd := range []struct{ addr, path, name string }{
 				{"readiness", "/", tt.readiness},
@@ -343,7 +351,6 @@
 		t.Skip("runs processes in real time")
 	}
 	program := build(t)
-	const oneProcessor = "serve with one processor"
 	for _, tt := range []struct {
 		name       string
 		newProcess func(*testing.T, string, int) *process
@@ -352,11 +359,11 @@
 	}{
 		{"site", newSite, callPath, []os.Signal{syscall.SIGHUP, syscall.SIGTERM}},
 		{"serve", newServe, "/v1/jobs", []os.Signal{syscall.SIGTERM}},
-		{oneProcessor, newServe, "/v1/jobs", []os.Signal{syscall.SIGTERM}},
+		{"serve " + oneProcessor, newServe, "/v1/jobs", []os.Signal{syscall.SIGTERM}},
 	} {
 		for _, crowd := range []string{slowHeads, fastHeads, fieldsReopened, slowReaders} {
 			t.Run(tt.name+"/"+crowd, func(t *testing.T) {
-				if tt.name == oneProcessor {
+				if strings.HasSuffix(tt.name, oneProcessor) {
 					t.Setenv("GOMAXPROCS", "1") // for the process under test
 				}
 				p := tt.newProcess(t, program, maxFDs)
