internal/transport/guard: a refused head is final, and closed connections charge nothing

Cause, found by reading the diff: a head that was read ahead with the request before could be refused by the read that net/http makes while a request runs, and the request be executed after that; and a connection that was closed before its next head could charge fields that were never given back.

The change: the connection remembers that it has refused, and that it has ended.

Evidence: TestRefusedHeadIsNotExecuted, which names both; on the code before, it would not compile, and the refused head was accepted once the budget had room.

Conclusion: a refusal stays true, and the budget returns to zero.

--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -330,3 +330,26 @@
 	is.NoErr(c.SetReadDeadline(start))
 	is.Equal(d.read, start)
 }
+
+// TestRefusedHeadIsNotExecuted guards against a request that is executed although its
+// connection has been told that it was not, and against charges that outlive it.
+func TestRefusedHeadIsNotExecuted(t *testing.T) {
+	is := is.New(t)
+	g := &Guard{Conns: limit.NewConns(2), Heads: limit.NewBudget(1 << 20), Meter: meter.New(), Logger: zerolog.Nop()}
+	lines := []byte(strings.Repeat("a:\n", 1500))
+	is.True(g.Heads.TakeLarge(1 << 19)) // all
+	c, _, _ := g.accept(&deadlines{})
+	ended, ok := c.readHead(lines)
+	is.True(!ended && !ok)
+	g.Heads.ReleaseLarge(1 << 19)
+	is.True(!c.endHead())
+
+	c, _, _ = g.accept(&deadlines{})
+	_, ok = c.readHead(lines)
+	is.True(ok)
+	is.True(g.Heads.Used() > 0)
+	c.closeHead()
+	c.nextHead()
+	is.True(c.endHead())
+	is.Equal(g.Heads.Used(), int64(0))
+}
--- a/internal/transport/guard/listen.go
+++ b/internal/transport/guard/listen.go
@@ -62,7 +62,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Add(p)
-	return c.head.Ended(), c.chargeHead()
+	ended, ok = c.head.Ended(), c.chargeHead()
+	c.refused = c.refused || !ended && !ok
+	return ended, ok
 }
 
 // endHead records that the head has ended, and reports whether the budget had room for
@@ -71,7 +73,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.End()
-	return c.chargeHead()
+	return !c.refused && c.chargeHead()
 }
 
 // refuseHead answers that the budget has no room for a head that has not ended, and
@@ -93,16 +95,24 @@
 
 // nextHead records that the next head follows.
 func (c *conn) nextHead() {
-	c.releaseHead(0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releaseHead()
 	c.head.Next()
 }
 
+// closeHead gives back what has been charged and lets nothing more be charged.
+func (c *conn) closeHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseHead()
+	c.ended = true
+}
+
 // chargeHead charges what the head's fields take. The caller must hold mu.
 func (c *conn) chargeHead() bool {
 	more := c.head.Bytes() - c.charged
-	if c.guard.Heads == nil || c.charged < 0 || more <= 0 {
+	if c.guard.Heads == nil || c.ended || more <= 0 {
 		return true
 	}
 	if !c.guard.Heads.TakeLarge(more) {
@@ -112,14 +122,12 @@
 	return true
 }
 
-// releaseHead gives back what has been charged for the head, and sets charged.
-func (c *conn) releaseHead(charged int64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// releaseHead gives back what has been charged for the head. The caller must hold mu.
+func (c *conn) releaseHead() {
 	if c.charged > 0 {
 		c.guard.Heads.ReleaseLarge(c.charged)
 	}
-	c.charged = charged
+	c.charged = 0
 }
 
 // Listener returns a listener that accepts the connections of l and closes one
@@ -205,7 +213,9 @@
 	// mu guards the fields below, since net/http reads while a handler runs.
 	mu      sync.Mutex
 	head    limit.Head
-	charged int64 // bytes of Guard.Heads, -1 if the connection has been removed
+	charged int64 // bytes of Guard.Heads
+	refused bool  // a head has been refused, so no further request is executed
+	ended   bool  // Close has been called, so nothing more is charged
 }
 
 // Read implements net.Conn.
@@ -268,7 +278,7 @@
 func (c *conn) Close() error {
 	err := c.Conn.Close()
 	c.removed.Do(func() {
-		c.releaseHead(-1)
+		c.closeHead()
 		c.guard.Conns.Remove(c.entry)
 		c.guard.mu.Lock()
 		delete(c.guard.conns, c.entry)
--- a/internal/transport/guard/peers.go
+++ b/internal/transport/guard/peers.go
@@ -66,9 +66,10 @@
 }
 
 // checkMessage returns the memory that decoding an encoded message takes beside its
-// size, which is charged since a crowd of short messages would otherwise take most
-// memory while they wait for their turn, or an error for a message with more fields than maxPeerFields or whose fields
-// can't be told apart. Without a descriptor it looks into no field.
+// size, or an error for a message with more fields than maxPeerFields or whose fields
+// can't be told apart. Without a descriptor it looks into no field. The memory is charged
+// since a crowd of short messages would otherwise take most of it while they wait for
+// their turn.
 func checkMessage(body io.Reader, message protoreflect.MessageDescriptor) (int64, error) {
 	c := &fieldCounter{r: bufio.NewReader(body)}
 	if err := c.count(message, maxMessageBytes, 0); err != nil {
