internal/state/config, internal/transport/server: check patches while they have a decoder

What callers saw: six patches of legal size at once could end an instance of serve.

Cause: a patch is decoded with the other bodies, two at a time, but its change, which is decoded once more into a tree that takes forty times its bytes, was checked outside of that limit, and also if it is longer than a patch may be.

The change: the check holds a decoder, and stops at a change that is too long.

Conclusion: all decoding of operators' bodies is limited to two at a time.

--- a/internal/state/config/patch.go
+++ b/internal/state/config/patch.go
@@ -61,6 +61,7 @@
 	}
 	if len(p.Change) > MaxPatchBytes {
 		l.Add(errs.Error{Step: step, Peer: peer, Path: "change", Value: fmt.Sprint(len(p.Change)), Allowed: fmt.Sprintf("at most %d bytes", MaxPatchBytes)})
+		return l.Err() // its values take much more memory than its bytes
 	}
 	if _, err := p.decode(); err != nil {
 		l.Add(errs.Error{Step: step, Peer: peer, Path: "change", Allowed: "a JSON object (merge patch) with at least one key", Err: err})
--- a/internal/transport/server/operators.go
+++ b/internal/transport/server/operators.go
@@ -170,15 +170,23 @@
 }
 
 func (i *Instance) readBody(w http.ResponseWriter, r *http.Request, v any) error {
-	if err := i.decoders.Take(r.Context()); err != nil {
+	return i.withDecoder(r.Context(), func() error {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+		if err != nil {
+			return err
+		}
+		return strict.Decode(data, v)
+	})
+}
+
+// withDecoder calls decode as one of the few that decode at a time, and returns its
+// error or that of ctx.
+func (i *Instance) withDecoder(ctx context.Context, decode func() error) error {
+	if err := i.decoders.Take(ctx); err != nil {
 		return err
 	}
 	defer i.decoders.Release() // also if decoding panics
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		return err
-	}
-	return strict.Decode(data, v)
+	return decode()
 }
 
 type patchRequest struct {
@@ -195,7 +203,7 @@
 		return
 	}
 	p := config.Patch{ID: req.ID, Operator: req.Operator, Base: req.Base, AtMs: i.now().UnixMilli(), Change: req.Change}
-	if err := p.Check(r.RemoteAddr); err != nil {
+	if err := i.withDecoder(r.Context(), func() error { return p.Check(r.RemoteAddr) }); err != nil {
 		writeOperatorError(w, http.StatusBadRequest, codeBadInput, step, r.RemoteAddr, err)
 		return
 	}
