--- a/internal/testing/abuse/abuse_test.go
+++ b/internal/testing/abuse/abuse_test.go
@@ -228,6 +228,8 @@
 	probeAddr string
 }
 
+// play lets each crowd of each target act on a process of its own, and checks that the
+// process withstands it and serves an ordinary client meanwhile.
 func play(t *testing.T, newProcess func(*testing.T, string, int) *process, maxFDs int, targets []target) {
 	if testing.Short() {
 		t.Skip("runs processes in real time")
@@ -273,9 +275,9 @@
 // send too much or never complete what they send.
 func TestSiteWithstandsUntrustedClients(t *testing.T) {
 	play(t, newSite, maxFDs, []target{
-		{name: "callers", addr: "callers", path: "/q/00000000000000aa", crowds: []string{wholeBodies, pieces, largeChunks, tinyChunks, bigHeads, slowHeads, fastHeads, emptyFirst, emptyLater, manySteps}},
+		{name: "callers", addr: "callers", path: callPath, crowds: []string{wholeBodies, pieces, largeChunks, tinyChunks, bigHeads, slowHeads, fastHeads, emptyFirst, emptyLater, manySteps}},
 		{name: "operators", addr: "operators", path: "/flows", probe: "/site", crowds: []string{wholeBodies, largeChunks, slowHeads, manySteps}},
-		{name: "peers", addr: "operators", path: "/twirp/tamaracklink.cell.Cell/Submit", probe: "/site", crowds: []string{pieces, endlessBody}},
+		{name: "peers", addr: "operators", path: cellPath + "Submit", probe: "/site", crowds: []string{pieces, endlessBody}},
 		{name: "readiness", addr: "readiness", path: "/", probe: "/", crowds: []string{pieces, slowHeads}},
 		{name: "metrics", addr: "metrics", path: "/metrics", probe: "/metrics", crowds: []string{tinyChunks, bigHeads}},
 	})
@@ -384,7 +386,7 @@
 func TestServeWithstandsUntrustedClients(t *testing.T) {
 	play(t, newServe, maxFDs, []target{
 		{name: "operators", addr: "callers", path: "/v1/jobs", probe: "/healthz", crowds: []string{wholeBodies, pieces, tinyChunks, slowHeads, emptyLater}},
-		{name: "peers", addr: "callers", path: "/twirp/tamaracklink.peer.Peer/Forward", probe: "/healthz", crowds: []string{largeChunks, endlessBody}},
+		{name: "peers", addr: "callers", path: peerPath + "Forward", probe: "/healthz", crowds: []string{largeChunks, endlessBody}},
 	})
 }
 
--- a/internal/testing/abuse/crowds_test.go
+++ b/internal/testing/abuse/crowds_test.go
@@ -103,6 +103,8 @@
 // get returns a GET request.
 func (c *client) get() string { return "GET " + c.path + " HTTP/1.1\r\nHost: h\r\n" + c.more + "\r\n" }
 
+// moreCrowds are the crowds of this file. init adds the last of them, since allKinds
+// refers to the list.
 var moreCrowds = []crowd{
 	{name: largestBodies, size: some, play: func(c *client) { c.sendWhole(jsonKind, megaBody) }},
 	{name: otherMethods, size: many, play: func(c *client) {
@@ -116,6 +118,8 @@
 		c.send(c.head(fields + "Content-Length: 2\r\n\r\n{"))
 	}},
 	{name: fieldsNoEnd, size: many, play: func(c *client) { c.send(c.head(fields)) }},
+	// The second head arrives together with the first, so net/http has read a part of it
+	// before the first has been answered.
 	{name: fieldsLater, size: many, play: func(c *client) {
 		c.send(c.get() + c.head(fields))
 	}},
@@ -135,6 +139,7 @@
 		c.send(c.head("Content-Length: 1\r\n\r\nx"))
 		c.waitClosed()
 	}},
+	// Some 80 KB/s are enough for no write to reach its time limit.
 	{name: slowReaders, size: many, again: true, unread: true, play: func(c *client) {
 		go func() {
 			p := make([]byte, 8192)
