--- a/review/testdata/rig3/minion.go
+++ b/review/testdata/rig3/minion.go
@@ -44,9 +44,13 @@
 }
 
 type process struct {
-	task string
-	run  int
-	stop *time.Timer
+	task    string
+	run     int
+	serves  bool // it lasts, and reports the tail of its response times
+	percent int  // its pace
+	left    time.Duration
+	since   time.Time // when left was computed
+	stop    *time.Timer
 }
 
 type end struct {
@@ -108,7 +112,7 @@
 	h.minion = nil
 	if m != nil {
 		for _, p := range m.running {
-			p.stop.Stop()
+			p.halt()
 			h.rig.ran(m.id, p.task, p.run, "lost in a crash")
 		}
 		m.running = map[string]*process{}
@@ -143,7 +147,7 @@
 	if h.minion != m || m.running[p.task] != p {
 		return
 	}
-	p.stop.Stop()
+	p.halt()
 	delete(m.running, p.task)
 	m.highest[p.task] = max(m.highest[p.task], p.run)
 	m.number++
@@ -153,6 +157,39 @@
 	h.rig.ran(m.id, p.task, p.run, how)
 }
 
+// halt ends the work of a run for now. The caller holds h.mu.
+func (p *process) halt() {
+	if p.stop != nil {
+		p.stop.Stop()
+		p.stop = nil
+	}
+	p.left -= time.Duration(float64(time.Since(p.since)) * float64(p.percent) / 100)
+	p.since = time.Now()
+}
+
+// setPace lets a run work at a share of its speed. The caller holds h.mu.
+func (h *host) setPace(m *minion, p *process, percent int) {
+	p.halt()
+	p.percent = percent
+	if percent == 0 || p.serves {
+		return
+	}
+	p.stop = time.AfterFunc(p.left*100/time.Duration(percent), func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.finish(m, p, "done")
+	})
+}
+
+// load returns the rough figure that a minion reports of a run: the tail of the
+// response times of a task that serves, the cores in use by any other.
+func (h *host) load(p *process) float64 {
+	if p.serves {
+		return float64(h.rig.tailMs.Load())
+	}
+	return float64(p.percent) / 100
+}
+
 // workTime reads the run time of a task from the spec: milliseconds by step,
 // separated by commas.
 func workTime(spec, task string) time.Duration {
@@ -175,6 +212,7 @@
 		FencingToken int64  `json:"fencing_token"`
 		LastSeen     int64  `json:"last_seen"`
 		WaitMs       int64  `json:"wait_ms"`
+		Percent      int    `json:"percent"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&doc); err != nil {
 		w.WriteHeader(400)
@@ -213,13 +251,9 @@
 			return
 		default:
 			extend()
-			p := &process{task: doc.Task, run: doc.Run}
-			p.stop = time.AfterFunc(workTime(doc.Spec, doc.Task), func() {
-				h.mu.Lock()
-				defer h.mu.Unlock()
-				h.finish(m, p, "done")
-			})
+			p := &process{task: doc.Task, run: doc.Run, serves: doc.Spec == "serve", left: workTime(doc.Spec, doc.Task), since: time.Now()}
 			m.running[doc.Task] = p
+			h.setPace(m, p, 100)
 			h.rig.started(m.id, doc.Task, doc.Run)
 		}
 	case "/run-stop":
@@ -231,6 +265,11 @@
 				h.finish(m, p, "stopped")
 			})
 		}
+	case "/pace":
+		if p := m.running[doc.Task]; p != nil && p.run == doc.Run {
+			h.setPace(m, p, doc.Percent)
+			h.rig.note("run of %s, number %d, on %s: paced to %d percent", doc.Task, doc.Run, m.id, doc.Percent)
+		}
 	case "/hold":
 		extend()
 		for len(m.ends) > 0 && m.ends[0].number <= doc.LastSeen {
@@ -254,7 +293,7 @@
 		}
 		running, finished := [][]any{}, [][]any{}
 		for _, p := range m.running {
-			running = append(running, []any{p.task, p.run, "", 100})
+			running = append(running, []any{p.task, p.run, "", p.percent, h.load(p)})
 		}
 		for _, e := range m.ends[:min(len(m.ends), 500)] {
 			finished = append(finished, []any{e.number, e.task, e.run, e.how, ""})
--- a/review/testdata/rig3/rig.go
+++ b/review/testdata/rig3/rig.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,7 @@
 	instances []*instance
 	dir       string // temporary folder
 	client    *http.Client
+	tailMs    atomic.Int64 // that tasks which serve report
 
 	mu    sync.Mutex // guards the fields below
 	file  *os.File
