state/sched: figures tell reserved room from lack of room without tickets too

Cause: the reason for which a step waits was no-room for every step of a queue without a placement service.

Ruled out: adding reservations by worker to the log; the reasons already exist for queues with a placement service.

Change: for such steps the reason is computed over the workers of the service: for-gangs, reserved, next-pass or no-room.

Test, failed first: TestWaitReasonOfStepsWithoutTickets ("0 != 1", the step counted as no-room).

--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -34,8 +34,7 @@
 	WaitReserved
 	// WaitForGangs: it has time left and leaves the room to gangs that wait for it.
 	WaitForGangs
-	// WaitNoRoom: its tasks don't fit on the workers that may run it, or on any
-	// if it needs no tickets.
+	// WaitNoRoom: its tasks don't fit on the workers that may run it.
 	WaitNoRoom
 	// WaitQuota: its customer's quota leaves no room, or is not known because the
 	// configuration is too old.
@@ -153,7 +152,7 @@
 		if passFull {
 			return WaitNotEvaluated, false
 		}
-		return WaitNoRoom, st.Gang || mayFit
+		return e.roomReason(now, ps, demand), st.Gang || mayFit
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	clientFree := e.pickClient(now, ps.job.Queue, queryDuration(service, minQueryWorkers), nil) != nil
@@ -196,6 +195,33 @@
 	return reason, true
 }
 
+// roomReason returns what a step that needs no tickets waits for.
+func (e *Engine) roomReason(now time.Time, ps pendingStep, demand roomDemand) WaitReason {
+	st, service, id := &ps.job.Steps[ps.step], e.policy(ps.job).Service, ps.stepID()
+	need, fit, unreserved := 1, 0, 0
+	if st.Gang {
+		need = len(ps.idleTasks)
+	}
+	for _, w := range e.workersByID {
+		if w.Service != service || (st.Label != "" && !w.hasLabel(st.Label)) {
+			continue
+		}
+		n, all := e.fitForStep(now, ps.job, id, w, need)
+		if fit, unreserved = fit+n, unreserved+all; fit >= need {
+			break
+		}
+	}
+	switch {
+	case fit >= need && e.mayOnlyBackfill(now, ps, demand):
+		return WaitForGangs
+	case fit >= need:
+		return WaitNextPass
+	case unreserved >= need:
+		return WaitReserved
+	}
+	return WaitNoRoom
+}
+
 // permittedFit returns how many tasks of a step fit on workers with valid
 // tickets, on all workers that may run it, and on these without the
 // reservations for other steps.
