state/sched: the load of one service holds back no step of another

Cause: the exception by which a step that has waited long passes a gang's partial reservation asked whether less than half of the usable workers' CPU is used, added up over all services. The rule, and the step's chance to run, go by its service.

Ruled out: the reservation itself; it lasts as long without the other service's load.

Same cause on related paths, changed too: - Only one gang of all services could have a partial reservation, so that a gang beside a stream of short jobs never started while a gang of another service waited. - Batch steps left room to gangs that wait for another service's workers. - A gang's queries counted the workers of all services against the number that may be named at once, and so did the reason for which a step waits.

Change: findServices adds up the usable workers by service once a pass; the four places use the figures of the step's service.

Tests, failed first: TestFullServiceStopsNoStepOfAnother (not started after 3 s), TestGangsOfTwoServicesReserve ("the gang started after 10s; want at most 2s"), TestGangsOfAnotherServiceHoldNoBatchStepBack (not started after 200 ms). All other tests of the package pass.

--- a/internal/state/sched/backfill.go
+++ b/internal/state/sched/backfill.go
@@ -16,21 +16,22 @@
 	// none for it. A long backlog is evaluated in turn.
 	roomDemandTTL = 500 * time.Millisecond
 	// maxWaitBesideIdle is how long a step leaves room to gangs that don't fit yet
-	// while most of the workers are idle. Users give a step that could run three
+	// while most of its service is idle. Users give a step that could run three
 	// seconds, of which the query for tickets takes a part.
 	maxWaitBesideIdle = 1500 * time.Millisecond
 )
 
-// roomDemand is the room that gangs wait for.
+// roomDemand is the room of one service that gangs wait for.
 type roomDemand struct {
 	gangs    int   // gangs within their objective that lack room
 	priority int   // the most urgent one's
 	taskCPU  int64 // of the smallest task of these gangs, in thousandths of a core
 }
 
-// findRoomDemand returns what the gangs among the pending steps wait for.
-func (e *Engine) findRoomDemand(now time.Time, pending []pendingStep) roomDemand {
-	var d roomDemand
+// findRoomDemand returns what the gangs among the pending steps wait for, by
+// service.
+func (e *Engine) findRoomDemand(now time.Time, pending []pendingStep) map[string]roomDemand {
+	demand := map[string]roomDemand{}
 	for _, ps := range pending {
 		st := &ps.job.Steps[ps.step]
 		if !st.Gang || ps.lateness > 0 || ps.beyond || taskSize(st).CPU == 0 || e.quotaFit(now, ps, len(ps.idleTasks), work.Size{}) == 0 {
@@ -40,6 +41,7 @@
 		if len(sp.queriedBy) > 0 || now.Sub(sp.lackedRoomAt) > roomDemandTTL {
 			continue
 		}
+		d := demand[ps.service]
 		if d.gangs == 0 || ps.priority < d.priority {
 			d.priority = ps.priority
 		}
@@ -47,18 +49,20 @@
 			d.taskCPU = taskSize(st).CPU
 		}
 		d.gangs++
+		demand[ps.service] = d
 	}
-	return d
+	return demand
 }
 
 // mayOnlyBackfill reports whether a step has to leave the room that gangs wait
-// for. It may still use what their tasks can't.
+// for. It may still use what their tasks can't. demand is that of each service.
 //
 // It answers a burst of gangs beside batch jobs: each hole that a task leaves is
 // smaller than a gang, and the tasks of batch jobs, though of a lower priority,
 // fill it at once. These are all in time then, with most of their time to spare,
 // while the gangs are late. A single gang is served by its partial reservation.
-func (e *Engine) mayOnlyBackfill(now time.Time, ps pendingStep, d roomDemand) bool {
+func (e *Engine) mayOnlyBackfill(now time.Time, ps pendingStep, demand map[string]roomDemand) bool {
+	d := demand[ps.service]
 	if d.gangs <= maxPartialReservations || ps.priority <= d.priority || ps.lateness > 0 || ps.job.objectiveMs <= 0 {
 		return false
 	}
@@ -75,14 +79,3 @@
 	}
 	return now.Sub(since)
 }
-
-// mostlyIdle reports whether less than half of the usable workers' CPU is used.
-func (e *Engine) mostlyIdle(now time.Time) bool {
-	var used, capacity int64
-	for _, w := range e.workersByID {
-		if w.usable(now) {
-			used, capacity = used+w.used.CPU, capacity+w.Capacity.CPU
-		}
-	}
-	return 2*used < capacity
-}
--- a/internal/state/sched/candidates.go
+++ b/internal/state/sched/candidates.go
@@ -32,12 +32,12 @@
 	candidates     map[*worker]*candidate // by worker, of those visited so far; nil for an unusable worker
 	lowestPriority int                    // the lowest priority (highest number) of any queue or pending step
 	stepsEvaluated int                    // steps for which workers were evaluated
-	roomDemand     roomDemand             // of gangs
-	mostlyIdle     bool                   // less than half of the usable workers' CPU is used
-	needsLongQuery bool                   // a step within its customer's weight waits for a long query
-	compared       int                    // workers evaluated beyond those that fit a step's tasks, see comparison
-	comparedLimit  int                    // bound on compared while a step's search is beyond these, else 0
-	searchPause    time.Duration          // pause of a step after a search for workers to query that found none
+	services       map[string]*serviceUse
+	roomDemand     map[string]roomDemand // of gangs, by service
+	needsLongQuery bool                  // a step within its customer's weight waits for a long query
+	compared       int                   // workers evaluated beyond those that fit a step's tasks, see comparison
+	comparedLimit  int                   // bound on compared while a step's search is beyond these, else 0
+	searchPause    time.Duration         // pause of a step after a search for workers to query that found none
 }
 
 // candidate returns the pass's candidate for a worker, nil if no task may start
@@ -95,7 +95,7 @@
 	}
 	c.available = c.free.Sub(e.reservedForOthers(p.now, c.worker, ps))
 	if ps.backfills && c.available.CPU > 0 {
-		c.available.CPU %= p.roomDemand.taskCPU
+		c.available.CPU %= p.roomDemand[ps.service].taskCPU
 	}
 	c.fit, c.preemptFit, c.stepRank = fitCount(c.available, size, maxFit), 0, c.rank
 	if st.DataRack != "" && c.worker.Rack != st.DataRack {
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -64,7 +64,8 @@
 	for _, a := range e.accounts {
 		a.claimed, a.held = work.Size{}, work.Size{}
 	}
-	p.roomDemand, p.mostlyIdle = e.findRoomDemand(now, pending), e.mostlyIdle(now)
+	p.services = e.findServices(now)
+	p.roomDemand = e.findRoomDemand(now, pending)
 	for i := range e.config.Queues {
 		p.lowestPriority = max(p.lowestPriority, e.config.Queues[i].Policy.Priority)
 	}
@@ -133,12 +134,13 @@
 	idleTasks []int // indexes of the tasks that may start
 	lateness  int   // 0 within its objective, 1 late, 2 too late to be useful
 	beyond    bool  // its job exceeds the rate that its customer's weight guarantees
-	priority  int   // of its queue; 0 is the most urgent
-	suspect   bool  // the tasks have crash scores
-	cut       bool  // idleTasks lacks those that the customer's quota does not allow
-	backfills bool  // it may use only what waiting gangs can't
-	// waitedLong means that it has waited for maxWaitBesideIdle and most of the
-	// workers' processors are idle.
+	service   string
+	priority  int  // of its queue; 0 is the most urgent
+	suspect   bool // the tasks have crash scores
+	cut       bool // idleTasks lacks those that the customer's quota does not allow
+	backfills bool // it may use only what waiting gangs can't
+	// waitedLong means that it has waited for maxWaitBesideIdle and most of its
+	// service's processors are idle.
 	waitedLong bool
 }
 
@@ -153,16 +155,16 @@
 func (e *Engine) pendingSteps(now time.Time) []pendingStep {
 	var steps []pendingStep
 	for j := range e.pendingJobs {
-		found, beyond := len(steps), j.beyond && e.customersOn()
+		found, beyond, policy := len(steps), j.beyond && e.customersOn(), e.policy(j)
 		for _, r := range j.Progress.Rounds {
 			for step := range r.Steps {
 				idle := e.startableTasks(j, r, step)
 				plain, suspect := splitSuspects(r.Steps[step], idle, j.Steps[step].Gang)
 				if len(plain) > 0 {
-					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: plain, beyond: beyond, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
+					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: plain, beyond: beyond, lateness: latenessOf(now, j, r), service: policy.Service, priority: policy.Priority})
 				}
 				if len(suspect) > 0 {
-					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: suspect, suspect: true, beyond: beyond, lateness: latenessOf(now, j, r), priority: e.policy(j).Priority})
+					steps = append(steps, pendingStep{job: j, round: r, step: step, idleTasks: suspect, suspect: true, beyond: beyond, lateness: latenessOf(now, j, r), service: policy.Service, priority: policy.Priority})
 				}
 			}
 		}
@@ -378,7 +380,7 @@
 	if known >= knownRoomFactor*len(ps.idleTasks) {
 		return false
 	}
-	if !st.Gang || len(e.workersByID) <= e.maxNamedWorkers(p.now, true) {
+	if !st.Gang || p.service(ps.service).workers <= e.maxNamedWorkers(p.now, true) {
 		return true
 	}
 	return e.fitsOnceTasksEnd(p.now, ps, st, len(ps.idleTasks)) && e.admitPartialReservation(p.now, ps)
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -20,9 +20,9 @@
 	// minPreemptionAge is the time since its start before which a run is not
 	// preempted.
 	minPreemptionAge = 300 * time.Millisecond
-	// maxPartialReservations is the number of gangs that may have a partial
-	// reservation at a time, not counting those of a lower priority. Several gangs
-	// that each hold a part of what they need keep it from each other.
+	// maxPartialReservations is the number of gangs of one service that may have a
+	// partial reservation at a time, not counting those of a lower priority. Several
+	// gangs that each hold a part of what they need keep it from each other.
 	maxPartialReservations = 1
 )
 
@@ -40,6 +40,7 @@
 // partialReservation marks a gang that does not fit yet and for which what is
 // free is reserved until it fits.
 type partialReservation struct {
+	service  string
 	priority int // of the gang's queue
 	lateness int // of the gang when it was made
 	beyond   bool
@@ -241,25 +242,26 @@
 }
 
 // admitPartialReservation reports whether a gang may have a partial reservation
-// beside those of the same or a higher priority, and if so records it until it
-// expires. It drops those of later gangs, and for a gang within its customer's
-// weight those of gangs beyond.
+// beside those of its service of the same or a higher priority, and if so records
+// it until it expires. It drops those of later gangs of the service, and for a gang
+// within its customer's weight those of gangs beyond.
 func (e *Engine) admitPartialReservation(now time.Time, ps pendingStep) bool {
 	id, others := ps.stepID(), 0
 	for other, res := range e.partialReservations {
 		switch {
 		case !now.Before(res.expires):
 			delete(e.partialReservations, other)
-		case other != id && (res.lateness > ps.lateness || res.beyond && !ps.beyond):
+		case other == id || res.service != ps.service:
+		case res.lateness > ps.lateness || res.beyond && !ps.beyond:
 			delete(e.partialReservations, other)
-		case other != id && res.priority <= ps.priority:
+		case res.priority <= ps.priority:
 			others++
 		}
 	}
 	if others >= maxPartialReservations {
 		return false
 	}
-	e.partialReservations[id] = partialReservation{priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, expires: now.Add(reservationTime)}
+	e.partialReservations[id] = partialReservation{service: ps.service, priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, expires: now.Add(reservationTime)}
 	return true
 }
 
--- a/internal/state/sched/services_test.go
+++ b/internal/state/sched/services_test.go
@@ -49,6 +49,82 @@
 // longMs is the run time of tasks that outlast a test.
 const longMs = 100_000
 
+// checkStarts fails the test if the jobs have not all started after limit.
+func (s *sim) checkStarts(limit time.Duration, ids ...string) {
+	s.t.Helper()
+	s.run(limit)
+	for _, id := range ids {
+		if !s.started[TaskID{Job: id}] {
+			q := s.engine.Stats(s.now).Waiting[s.jobs[id].spec.Queue]
+			s.t.Errorf("job %s has not started %v after it was submitted; its queue waits: %+v", id, limit, q)
+		}
+	}
+	is.New(s.t).Equal(s.violations, nil)
+}
+
+// TestFullServiceStopsNoStepOfAnother guards against steps that wait on an idle
+// service beside a gang that does not fit yet, because another service is full.
+func TestFullServiceStopsNoStepOfAnother(t *testing.T) {
+	s := newServicesSim(t, 8, 3000, "a", "b")
+	s.submitTo("a", "long", on("a-00", taskStep(2, 15000, longMs)))
+	s.run(500 * time.Millisecond)
+	s.submitTo("a", "gang", gangStep(16, 15000, 1000))
+	for i := range 8 {
+		s.submitTo("b", fmt.Sprintf("large%d", i), taskStep(2, 15000, longMs))
+	}
+	s.run(2 * time.Second)
+	for i := range 3 {
+		s.submitTo("a", fmt.Sprintf("job%d", i), taskStep(2, 2800, 500))
+	}
+	s.checkStarts(maxIdleTime, "job0", "job1", "job2")
+}
+
+// TestGangsOfAnotherServiceHoldNoBatchStepBack guards against batch steps that
+// leave room to gangs which wait for the workers of another service.
+func TestGangsOfAnotherServiceHoldNoBatchStepBack(t *testing.T) {
+	s := newServicesSim(t, 4, 60_000, "a", "b")
+	s.submitTo("a", "long", on("a-00", taskStep(1, 15000, longMs)))
+	s.submitTo("b", "large", taskStep(4, 20000, longMs))
+	s.run(500 * time.Millisecond)
+	s.submitTo("a", "gang0", gangStep(24, 5000, 1000))
+	s.submitTo("a", "gang1", gangStep(24, 5000, 1000))
+	s.run(200 * time.Millisecond)
+	s.submitTo("b-batch", "batch", taskStep(2, 6000, 500))
+	s.checkStarts(200*time.Millisecond, "batch")
+}
+
+// TestGangsOfTwoServicesReserve guards against a gang that never starts beside a
+// stream of short jobs, because a gang of another service has the only partial
+// reservation.
+func TestGangsOfTwoServicesReserve(t *testing.T) {
+	is := is.New(t)
+	s := newServicesSim(t, 4, 60_000, "a", "b")
+	s.submitTo("a", "long", on("a-00", taskStep(1, 15000, longMs)))
+	s.run(500 * time.Millisecond)
+	s.submitTo("a", "gang", gangStep(8, 15000, 1000))
+	s.run(200 * time.Millisecond)
+	n := 0
+	submitShortJob := func() {
+		s.submitTo("b", fmt.Sprintf("f%d", n), taskStep(4, 4000, 700))
+		n++
+	}
+	for range 8 {
+		submitShortJob()
+	}
+	s.submitTo("b", "other", gangStep(8, 15000, 500))
+	var waited time.Duration
+	for p := s.progress("other"); p.State == flow.Queued && waited < 10*time.Second; p = s.progress("other") {
+		submitShortJob()
+		s.run(80 * time.Millisecond)
+		waited += 80 * time.Millisecond
+	}
+	// The bound of TestGangStartsDespiteStreamOfShortJobs.
+	if waited > 2*time.Second {
+		t.Errorf("the gang started after %v; want at most 2s", waited)
+	}
+	is.Equal(s.violations, nil)
+}
+
 // TestWaitReasonOfStepsWithoutTickets guards against figures that say a step lacks
 // room when other steps keep it reserved or it leaves it to gangs.
 func TestWaitReasonOfStepsWithoutTickets(t *testing.T) {
--- a/internal/state/sched/waiting.go
+++ b/internal/state/sched/waiting.go
@@ -93,9 +93,9 @@
 			q.oldest, q.Oldest.Name, q.Oldest.Age, q.Oldest.Reason = ps, ps.stepID().StepName(), now.Sub(since), reason
 		}
 	}
-	evaluated, demand := 0, e.findRoomDemand(now, pending)
+	evaluated, demand, services := 0, e.findRoomDemand(now, pending), e.findServices(now)
 	for _, ps := range pending {
-		reason, counts := e.waitReason(now, ps, evaluated >= maxStepsPerPass, demand)
+		reason, counts := e.waitReason(now, ps, evaluated >= maxStepsPerPass, demand, services[ps.service])
 		add(ps, reason)
 		if counts {
 			evaluated++
@@ -140,8 +140,9 @@
 // waitReason returns what a step waits for, and whether a scheduling pass
 // evaluates workers for the step. passFull means that a pass evaluates no more
 // steps after those before this one; the fit of its tasks is then not computed.
-// demand is the room that gangs wait for.
-func (e *Engine) waitReason(now time.Time, ps pendingStep, passFull bool, demand roomDemand) (reason WaitReason, evaluated bool) {
+// demand is the room that gangs wait for, by service, and use that of the step's
+// service, nil if it has no usable worker.
+func (e *Engine) waitReason(now time.Time, ps pendingStep, passFull bool, demand map[string]roomDemand, use *serviceUse) (reason WaitReason, evaluated bool) {
 	st := &ps.job.Steps[ps.step]
 	service := e.policy(ps.job).PlacementService
 	mayFit := e.index.mayFit(taskSize(st))
@@ -177,7 +178,7 @@
 	}
 	// The step needs a query if its tasks fit but lack tickets, or if they don't
 	// fit and there is room on workers about which it has no answer.
-	needsQuery := permitted >= need || (mayFit && len(sp.tickets)+len(sp.rejected) < len(e.workersByID))
+	needsQuery := permitted >= need || (mayFit && use != nil && len(sp.tickets)+len(sp.rejected) < use.workers)
 	switch {
 	case permitted >= need && e.mayOnlyBackfill(now, ps, demand):
 		reason = WaitForGangs
@@ -196,14 +197,14 @@
 }
 
 // roomReason returns what a step that needs no tickets waits for.
-func (e *Engine) roomReason(now time.Time, ps pendingStep, demand roomDemand) WaitReason {
-	st, service, id := &ps.job.Steps[ps.step], e.policy(ps.job).Service, ps.stepID()
+func (e *Engine) roomReason(now time.Time, ps pendingStep, demand map[string]roomDemand) WaitReason {
+	st, id := &ps.job.Steps[ps.step], ps.stepID()
 	need, fit, unreserved := 1, 0, 0
 	if st.Gang {
 		need = len(ps.idleTasks)
 	}
 	for _, w := range e.workersByID {
-		if w.Service != service || (st.Label != "" && !w.hasLabel(st.Label)) {
+		if w.Service != ps.service || (st.Label != "" && !w.hasLabel(st.Label)) {
 			continue
 		}
 		n, all := e.fitForStep(now, ps.job, id, w, need)
