state/sched: jobs are refused for the load of their own service only

What callers would see: with one service full and another idle, either no job is refused, also those of the full service that can't be served in time, or jobs of the idle service are refused because one of its steps waits for a ticket.

Cause: a summary of the load was made if three quarters of all usable workers' CPU were in use and any step waited, whatever the services of both.

Change: Load reports a backlog only for services of which three quarters of the CPU are in use and of which a step waits.

Test, failed first: TestLoadIsThatOfOneService, both cases: no summary for the full service beside a larger idle one, and queue "b" of the idle service listed beside those of the full one.

Conclusion: fixed; all tests of the package on admission pass.

--- a/internal/state/sched/load.go
+++ b/internal/state/sched/load.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -13,8 +14,8 @@
 	// backlogThreshold is the waiting time of a step from which there is a backlog.
 	// A query to the placement service and a commit take less.
 	backlogThreshold = 250 * time.Millisecond
-	// minBusyShare is the share of the usable workers' CPU that is used while there
-	// is a backlog. Below, steps wait for something other than capacity, such as
+	// minBusyShare is the share of the CPU of a service's usable workers that is used
+	// while there is a backlog. Below, steps wait for something other than capacity, such as
 	// tickets or workers with a label.
 	minBusyShare = 0.75
 	// maxLoadCustomers bounds the customers of a summary's group. Jobs of those left
@@ -92,18 +93,20 @@
 
 // Load returns the backlog of the queues that have one, as instances need it to
 // decide on the admission of jobs, or nil if no step waits for capacity. Its cost
-// is bounded by the number of pending steps.
+// is bounded by the number of workers and of pending steps.
 //
 // While work waits, capacity that is given back goes to it at once, so the rate at
 // which work gets capacity is the capacity in use: each core does a millisecond's
 // work in a millisecond. Work is therefore measured in the time for which its runs
 // are expected to hold capacity.
 func (e *Engine) Load(now time.Time) []admit.Group {
-	if e.config == nil || !e.mostlyBusy(now) {
+	services := e.findServices(now)
+	if e.config == nil || !slices.ContainsFunc(slices.Collect(maps.Values(services)), (*serviceUse).mostlyBusy) {
 		return nil
 	}
 	pending := e.pendingSteps(now)
-	if !slices.ContainsFunc(pending, func(ps pendingStep) bool { return ps.lateness < 2 && ps.waited(now) >= backlogThreshold }) {
+	backlog := servicesWithBacklog(now, pending, services)
+	if len(backlog) == 0 {
 		return nil
 	}
 	waiting := e.waitingWork(pending)
@@ -111,6 +114,9 @@
 	at := map[loadKey]int{}
 	for i := range e.config.Queues {
 		q := &e.config.Queues[i]
+		if !backlog[q.Policy.Service] {
+			continue
+		}
 		k := loadKey{service: q.Policy.Service, priority: q.Policy.Priority}
 		if n, ok := at[k]; ok {
 			if n >= 0 {
@@ -128,16 +134,17 @@
 	return groups
 }
 
-// mostlyBusy reports whether at least minBusyShare of the usable workers' CPU is
-// used.
-func (e *Engine) mostlyBusy(now time.Time) bool {
-	var used, capacity int64
-	for _, w := range e.workersByID {
-		if w.usable(now) {
-			used, capacity = used+w.used.CPU, capacity+w.Capacity.CPU
+// servicesWithBacklog returns the services of which most of the CPU is used while
+// steps wait for backlogThreshold.
+func servicesWithBacklog(now time.Time, pending []pendingStep, services map[string]*serviceUse) map[string]bool {
+	backlog := map[string]bool{}
+	for i := range pending {
+		ps := &pending[i]
+		if u := services[ps.service]; u != nil && u.mostlyBusy() && ps.lateness < 2 && ps.waited(now) >= backlogThreshold {
+			backlog[ps.service] = true
 		}
 	}
-	return capacity > 0 && float64(used) >= minBusyShare*float64(capacity)
+	return backlog
 }
 
 // waitingAmount is waiting work of steps within their objective and of late ones.
--- a/internal/state/sched/services_test.go
+++ b/internal/state/sched/services_test.go
@@ -125,6 +125,46 @@
 	is.Equal(s.violations, nil)
 }
 
+// TestLoadIsThatOfOneService guards against jobs that are refused, or accepted
+// beyond what can be served, because of how busy the workers of another service are.
+func TestLoadIsThatOfOneService(t *testing.T) {
+	tests := []struct {
+		name  string
+		full  int // workers of the full service, the idle one has 8
+		query bool
+	}{
+		{"beside a larger one that is idle", 4, false},
+		{"beside an idle one that waits for tickets", 28, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServicesSim(t, tt.full, 3000, "a")
+			for i := range 8 {
+				s.addWorker(fmt.Sprintf("b-%02d", i), "r1").info.Service = "b"
+			}
+			policy := flow.Policy{Service: "b", Priority: 1, MaxAttempts: 3, Stretch: 1, SlackMs: 3000}
+			if tt.query {
+				policy.PlacementService = flow.PlacementService{CallMs: 5, PerWorkerMs: 0.1, TicketValidMs: 1500}
+				s.allowedShares = map[string]float64{"b": 0}
+			}
+			s.config.Queues = append(s.config.Queues, flow.Queue{Name: "b", Policy: policy})
+			s.engine.SetConfig(s.config)
+			s.run(time.Second)
+			for i := range 3 {
+				s.submitTo("a", fmt.Sprintf("j%d", i), taskStep(tt.full, 32000, 3000))
+			}
+			s.submitTo("b", "other", taskStep(1, 4000, 500))
+			s.run(500 * time.Millisecond)
+			var queues []string
+			for _, g := range s.engine.Load(s.now) {
+				queues = append(queues, g.Queues...)
+			}
+			is.Equal(queues, []string{"a", "a-batch"})
+		})
+	}
+}
+
 // TestWaitReasonOfStepsWithoutTickets guards against figures that say a step lacks
 // room when other steps keep it reserved or it leaves it to gangs.
 func TestWaitReasonOfStepsWithoutTickets(t *testing.T) {
--- a/internal/state/sched/serviceuse.go
+++ b/internal/state/sched/serviceuse.go
@@ -41,3 +41,8 @@
 
 // mostlyIdle reports whether less than half of the CPU is used.
 func (u *serviceUse) mostlyIdle() bool { return 2*u.usedCPU < u.cpu }
+
+// mostlyBusy reports whether at least minBusyShare of the CPU is used.
+func (u *serviceUse) mostlyBusy() bool {
+	return u.cpu > 0 && float64(u.usedCPU) >= minBusyShare*float64(u.cpu)
+}
