state/sched: a gang that is too late to preempt keeps no room for a preemption

Cause: a gang that is later than three times its objective preempts nothing. The room of the runs that it could have preempted was counted all the same, so the gang seemed to fit and reserved all its workers as if that room were about to become free. As such a reservation is not a partial one, steps that have waited long did not pass it.

Change: runs are not preemptible for a step that is too late to be useful. Such a gang now counts as one that does not fit yet. Runs that are being stopped count as before.

Test, failed first: TestLateGangKeepsNoRoomForPreemption (three jobs not started after 3 s, reason reserved).

--- /dev/null
+++ b/internal/state/sched/longtasks_test.go
@@ -0,0 +1,27 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestLateGangKeepsNoRoomForPreemption guards against steps that wait on an idle
+// service, because a gang that is too late to preempt keeps the room of the runs
+// that it would have to preempt.
+func TestLateGangKeepsNoRoomForPreemption(t *testing.T) {
+	s := newServicesSim(t, 8, 500, "a")
+	for i := range 3 {
+		long := on(fmt.Sprintf("a-%02d", i), taskStep(2, 15000, longMs))
+		long.Checkpointing = true
+		s.submitTo("a-batch", fmt.Sprintf("long%d", i), long)
+	}
+	s.submitTo("a", "short", on("a-03", taskStep(2, 15000, 8000)))
+	s.run(500 * time.Millisecond)
+	s.submitTo("a", "gang", gangStep(16, 15000, 1000))
+	s.run(12 * time.Second) // the gang is late, and the short task has ended
+	for i := range 3 {
+		s.submitTo("a", fmt.Sprintf("job%d", i), taskStep(2, 2800, 500))
+	}
+	s.checkStarts(maxIdleTime, "job0", "job1", "job2")
+}
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -98,11 +98,11 @@
 
 // preemptible reports whether a run may be stopped for a step. It must be of a
 // lower priority and lose next to nothing by the stop, so it must write checkpoints
-// and be neither long-running nor a member of a gang. The shares of the customers
-// must allow it, too.
+// and be neither long-running nor a member of a gang. The step must not be too late
+// to be useful, and the shares of the customers must allow it, too.
 func (e *Engine) preemptible(r *run, ps pendingStep) bool {
 	st := &r.job.Steps[r.id.Step]
-	return st.Checkpointing && !st.Gang && !st.LongRunning && r.confirmed && r.stopReason == "" && e.policy(r.job).Priority > ps.priority && e.mayPreemptRun(ps, r)
+	return ps.lateness < 2 && st.Checkpointing && !st.Gang && !st.LongRunning && r.confirmed && r.stopReason == "" && e.policy(r.job).Priority > ps.priority && e.mayPreemptRun(ps, r)
 }
 
 // preemptibleCapacity returns the capacity of a worker that the preemption of
