state/sched: room that a gang reserves whole is not kept for ever either

Found by reading, in the search for its cause on related paths; not seen in a run of the users.

Cause: the room of runs that are being stopped, and that of workers whose tickets have to be renewed, is reserved as room that fits the gang. If the stop takes long or no ticket comes, each pass renews the reservation, and steps that have waited long, on a service that is mostly idle, passed only partial reservations.

Change: such steps also pass a reservation once it has been whole for 2 s without a further preemption. That covers two stops and two queries.

Tests: TestGangKeepsNoRoomForStopsThatTakeLong failed first (not started after 3 s). TestGangKeepsRoomWhileRunsAreStopped guards the other side: a gang keeps its room while a stop takes 0.9 s; it fails if the 2 s are 0.

--- a/internal/state/sched/longtasks_test.go
+++ b/internal/state/sched/longtasks_test.go
@@ -25,3 +25,38 @@
 	}
 	s.checkStarts(maxIdleTime, "job0", "job1", "job2")
 }
+
+// TestGangKeepsNoRoomForStopsThatTakeLong guards against steps that wait on an idle
+// service, because a gang keeps room that fits it once the runs that it has preempted
+// are stopped, which they are not.
+func TestGangKeepsNoRoomForStopsThatTakeLong(t *testing.T) {
+	s := newServicesSim(t, 8, 60_000, "a")
+	s.stopTime = time.Minute
+	long := on("a-00", taskStep(2, 15000, longMs))
+	long.Checkpointing = true
+	s.submitTo("a-batch", "long", long)
+	s.run(500 * time.Millisecond)
+	s.submitTo("a", "gang", gangStep(16, 15000, 1000))
+	s.run(5 * time.Second)
+	s.submitTo("a", "job", taskStep(2, 2800, 500))
+	s.checkStarts(maxIdleTime, "job")
+}
+
+// TestGangKeepsRoomWhileRunsAreStopped guards against a gang that preempts runs and
+// loses their room, or what else it has reserved, to steps that have waited long.
+func TestGangKeepsRoomWhileRunsAreStopped(t *testing.T) {
+	s := newServicesSim(t, 8, 60_000, "a")
+	s.stopTime = 900 * time.Millisecond
+	long := on("a-00", taskStep(2, 15000, longMs))
+	long.Checkpointing = true
+	s.submitTo("a-batch", "long", long)
+	s.stepWork["first"] = jobWork{steps: []time.Duration{1700 * time.Millisecond}}
+	s.submitTo("a", "first", on("a-01", taskStep(1, 15000, 1700)))
+	s.run(500 * time.Millisecond)
+	s.submitTo("a", "gang", gangStep(16, 15000, 1000))
+	s.run(100 * time.Millisecond)
+	for i := range 14 {
+		s.submitTo("a-batch", fmt.Sprintf("job%d", i), taskStep(2, 15000, longMs))
+	}
+	s.checkStarts(3*time.Second, "gang")
+}
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -14,6 +14,10 @@
 	// reservationTime is how long a reservation lasts unless it is renewed. It
 	// covers the stop of a run and a query for tickets.
 	reservationTime = 800 * time.Millisecond
+	// firmReservationTime is for how long a step keeps capacity from steps that have
+	// waited long. It covers two stops and two queries; what the step still lacks
+	// then may never come.
+	firmReservationTime = 2 * time.Second
 	// preemptionInterval is the shortest time between two preemptions for one
 	// step.
 	preemptionInterval = 700 * time.Millisecond
@@ -34,7 +38,10 @@
 	beyond   bool   // of the step
 	size     work.Size
 	partial  bool // of a gang that does not fit yet
-	expires  time.Time
+	// firmSince is since when the step has reserved all that it needs, or when a run
+	// was last preempted for it.
+	firmSince time.Time
+	expires   time.Time
 }
 
 // partialReservation marks a gang that does not fit yet and for which what is
@@ -58,8 +65,9 @@
 // ahead of a gang that waits for capacity, nor do those of steps that are later
 // than this one: what they wait for is of less use. Those beyond their customer's
 // weight keep nothing from steps within theirs. A partial reservation may last
-// as long as a task runs, so it does not keep idle workers from a step that has
-// waited long.
+// as long as a task runs, and any other as long as the stop or the ticket that it
+// waits for does not come, so from then on neither keeps idle workers from a step
+// that has waited long.
 func (e *Engine) reservedForOthers(now time.Time, w *worker, ps pendingStep) work.Size {
 	var sum work.Size
 	if len(w.reservations) == 0 {
@@ -72,7 +80,7 @@
 			continue
 		}
 		unexpired = append(unexpired, res)
-		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && (ps.beyond || !res.beyond) && !(res.partial && ps.waitedLong) {
+		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && (ps.beyond || !res.beyond) && !(ps.waitedLong && res.mayLast(now)) {
 			sum = sum.Add(res.size)
 		}
 	}
@@ -80,11 +88,18 @@
 	return sum
 }
 
+// mayLast reports whether what the reservation waits for may take long to come, or
+// never come.
+func (res *reservation) mayLast(now time.Time) bool {
+	return res.partial || now.Sub(res.firmSince) >= firmReservationTime
+}
+
 // releaseReservations removes all reservations of a step.
 func (e *Engine) releaseReservations(ps pendingStep) {
 	id := ps.stepID()
 	delete(e.partialReservations, id)
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
+	sp.reservedUntil = time.Time{}
 	for _, w := range sp.reservedOn {
 		for i := range w.reservations {
 			if w.reservations[i].step == id {
@@ -159,7 +174,9 @@
 			continue
 		}
 		if n > c.fit && mayPreempt {
-			e.preempt(p.now, ps, c, taskSize(st).Times(int64(n)))
+			if e.preempt(p.now, ps, c, taskSize(st).Times(int64(n))) {
+				sp.firmSince = p.now
+			}
 			preempted = true
 		}
 		need -= n
@@ -269,7 +286,12 @@
 // reservation that the step already has there.
 func (e *Engine) reserve(p *schedulingPass, ps pendingStep, c *candidate, size work.Size, partial bool) {
 	id := ps.stepID()
-	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, size: size, partial: partial, expires: p.now.Add(reservationTime)}
+	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
+	if partial || !p.now.Before(sp.reservedUntil) {
+		sp.firmSince = p.now
+	}
+	sp.reservedUntil = p.now.Add(reservationTime)
+	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, size: size, partial: partial, firmSince: sp.firmSince, expires: sp.reservedUntil}
 	for i := range c.worker.reservations {
 		if old := &c.worker.reservations[i]; old.step == id {
 			res.priority, res.lateness, res.beyond = old.priority, old.lateness, old.beyond
@@ -278,14 +300,13 @@
 		}
 	}
 	c.worker.reservations = append(c.worker.reservations, res)
-	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	sp.reservedOn = append(sp.reservedOn, c.worker)
 }
 
 // preempt stops runs of lower priority on a worker until size would fit: with
 // customers those of the one furthest above its share first, then those with the
-// most CPU.
-func (e *Engine) preempt(now time.Time, ps pendingStep, c *candidate, size work.Size) {
+// most CPU. It reports whether it has stopped any.
+func (e *Engine) preempt(now time.Time, ps pendingStep, c *candidate, size work.Size) (stopped bool) {
 	free := c.free.Sub(e.reservedForOthers(now, c.worker, ps))
 	var victims []*run
 	for _, r := range c.worker.sortedRuns() {
@@ -305,10 +326,12 @@
 	})
 	for _, r := range victims {
 		if size.FitsIn(free) {
-			return
+			break
 		}
 		free = free.Add(r.size)
 		r.job.account.activity.preempted++
 		e.stopRun(now, r, "gives way to "+ps.job.ID)
+		stopped = true
 	}
+	return stopped
 }
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -77,6 +77,8 @@
 	nextEvaluation time.Time                 // earliest time of the next evaluation, see reevaluationPause
 	softReservedOn []*worker                 // workers with a soft reservation for the step
 	reservedOn     []*worker                 // workers with a reservation for the step
+	reservedUntil  time.Time                 // when these expire
+	firmSince      time.Time                 // see reservation
 	nextPreemption time.Time                 // earliest time of the next preemption for the step
 	lastFailure    time.Time                 // when the end of a failed run of the step was last reported
 	runTimes       []runTime                 // of first runs that ended as done
