state/sched: how long a step has waited is known for adopted runs too

What callers would see: after a change of the leader, a task that ends without a result waits beside a gang for as long as that waits, on an idle service.

Cause: the exception for steps that have waited long rests on since when a step is startable. That is noted when a step becomes startable. For a step whose tasks all ran when the leader's term began it is never noted, so the step counts as waiting for no time. For any other step whose task starts again the time counted from its first start, however long ago.

Change: since when a step has idle tasks again is noted when a run ends without a result, and goes before the time at which the step became startable.

Test, failed first: TestStepAdoptedWhileRunningPassesGang (not started again after 3 s). All tests of the package pass.

--- a/internal/state/sched/activity.go
+++ b/internal/state/sched/activity.go
@@ -225,6 +225,7 @@
 	if r.Unfinished == 0 {
 		for step := range r.Steps {
 			delete(j.startable, stepKey{r.Number, step})
+			delete(j.idleSince, stepKey{r.Number, step})
 		}
 		return
 	}
@@ -233,6 +234,30 @@
 	}
 }
 
+// noteTaskIdle records that the task of an ended run is idle again, if its step had
+// no idle tasks before, or if the step is a gang that may start again now.
+func (r *run) noteTaskIdle(now time.Time) {
+	round := r.job.round(r.id.Round)
+	if round == nil {
+		return
+	}
+	tasks, gang, idle := round.Steps[r.id.Step], r.job.Steps[r.id.Step].Gang, 0
+	for i := range tasks {
+		if tasks[i].Phase == flow.Idle {
+			if idle++; idle > 1 && !gang {
+				return
+			}
+		}
+	}
+	if gang && idle < len(tasks) {
+		return
+	}
+	if r.job.idleSince == nil {
+		r.job.idleSince = map[stepKey]time.Time{}
+	}
+	r.job.idleSince[stepKey{r.id.Round, r.id.Step}] = now
+}
+
 // recordPlacement measures the placement of some of the idle tasks of a step.
 // Tasks that start again don't count once all tasks have been placed.
 func (e *Engine) recordPlacement(now time.Time, ps pendingStep, placed int) {
--- a/internal/state/sched/backfill.go
+++ b/internal/state/sched/backfill.go
@@ -71,9 +71,13 @@
 	return float64(left) > backfillTimeFactor*float64(ps.job.remainingMs[ps.step])
 }
 
-// waited returns for how long the step has been startable, 0 if that is not known.
+// waited returns for how long the step has had idle tasks that may start, 0 if that
+// is not known.
 func (ps *pendingStep) waited(now time.Time) time.Duration {
-	since, ok := ps.startableSince()
+	since, ok := ps.job.idleSince[stepKey{ps.round.Number, ps.step}]
+	if !ok {
+		since, ok = ps.startableSince()
+	}
 	if !ok {
 		return 0
 	}
--- a/internal/state/sched/engine.go
+++ b/internal/state/sched/engine.go
@@ -123,6 +123,7 @@
 	remainingMs    []int64                  // by step, the longest chain of estimates from it on
 	blockedUntil   time.Time                // no start before; the retry pause after a refused start
 	startable      map[stepKey]stepProgress // steps of open rounds that have become startable
+	idleSince      map[stepKey]time.Time    // since when steps of open rounds have had idle tasks again, see noteTaskIdle
 	account        *account                 // of its customer
 	beyond         bool                     // exceeds the rate that its customer's weight guarantees
 }
@@ -259,7 +260,7 @@
 func (e *Engine) discardProgress(j *job) {
 	j.Progress.Rounds = nil
 	j.placements = nil
-	j.startable = nil
+	j.startable, j.idleSince = nil, nil
 	e.unsavedJobs[j] = true
 	delete(e.liveJobs, j)
 }
--- a/internal/state/sched/longtasks_test.go
+++ b/internal/state/sched/longtasks_test.go
@@ -60,3 +60,24 @@
 	}
 	s.checkStarts(3*time.Second, "gang")
 }
+
+// TestStepAdoptedWhileRunningPassesGang guards against steps whose tasks all ran when
+// the leader's term began: since it was not known how long they have waited, they
+// waited for as long as a gang beside them.
+func TestStepAdoptedWhileRunningPassesGang(t *testing.T) {
+	s := newServicesSim(t, 8, 60_000, "a")
+	s.submitTo("a", "long", on("a-00", taskStep(2, 15000, longMs)))
+	job := s.submitTo("a", "job", taskStep(1, 2800, longMs))
+	s.run(500 * time.Millisecond)
+	s.startLeader()
+	s.run(15 * time.Second) // until the leases of the earlier leader have expired
+	s.submitTo("a", "gang", gangStep(16, 15000, 1000))
+	s.run(500 * time.Millisecond)
+	task := TaskID{Job: job.ID}
+	w, r := s.findMember(task, 1)
+	w.finishRun(r, EndStopped)
+	s.run(maxIdleTime)
+	if w, _ := s.findMember(task, 2); w == nil {
+		t.Errorf("task %v has not been started again after %v: %+v", task, maxIdleTime, s.engine.Stats(s.now).Waiting["a"])
+	}
+}
--- a/internal/state/sched/runs.go
+++ b/internal/state/sched/runs.go
@@ -361,8 +361,8 @@
 }
 
 // cleanUpAfterRun updates the job after one of its runs has ended: it discards
-// the progress of a final job without further runs, or stops the rest of a
-// gang that has lost the run.
+// the progress of a final job without further runs, or notes since when the task
+// is idle and stops the rest of a gang that has lost the run.
 func (e *Engine) cleanUpAfterRun(now time.Time, r *run, reason string) {
 	j := r.job
 	if j.State.Final() {
@@ -371,7 +371,11 @@
 		}
 		return
 	}
-	if j.Steps[r.id.Step].Gang && r.task.Phase == flow.Idle {
+	if r.task.Phase != flow.Idle {
+		return
+	}
+	r.noteTaskIdle(now)
+	if j.Steps[r.id.Step].Gang {
 		e.stopGang(now, j, r.id, reason)
 	}
 }
