state/sched: long-running tasks pass gangs however full their service is

Cause: the exception by which a step that has waited long passes a gang's reservation held only on a service that is mostly idle. For tasks that last the users' rule holds however full the service is, and nothing ends the wait but the tasks that the gang waits for.

Ruled out: passing at once. A gang loses room to each restart then, and 1.5 s leave time for a query within the three seconds of the rule.

Change: the exception holds for steps of long-running tasks on any service.

Test, failed first: TestLastingTaskRestartsBesideWaitingGang, with and without customers (not started again after 3 s).

--- a/internal/state/sched/backfill.go
+++ b/internal/state/sched/backfill.go
@@ -15,10 +15,11 @@
 	// roomDemandTTL is how long a gang counts as waiting for room after a pass found
 	// none for it. A long backlog is evaluated in turn.
 	roomDemandTTL = 500 * time.Millisecond
-	// maxWaitBesideIdle is how long a step leaves room to gangs that don't fit yet
-	// while most of its service is idle. Users give a step that could run three
-	// seconds, of which the query for tickets takes a part.
-	maxWaitBesideIdle = 1500 * time.Millisecond
+	// maxWaitBesideGangs is how long a step leaves room to gangs that don't fit yet
+	// while most of its service is idle, or if its tasks are long-running. Users give
+	// a step that could run three seconds, of which the query for tickets takes a
+	// part.
+	maxWaitBesideGangs = 1500 * time.Millisecond
 )
 
 // roomDemand is the room of one service that gangs wait for.
--- a/internal/state/sched/customers.go
+++ b/internal/state/sched/customers.go
@@ -184,7 +184,7 @@
 	if ps.beyond && (sp == nil || len(sp.tickets) == 0) && p.needsLongQuery && e.needsLongQueries(ps) {
 		return
 	}
-	ps.waitedLong = p.service(ps.service).mostlyIdle() && ps.waited(p.now) >= maxWaitBesideIdle
+	ps.waitedLong = (st.LongRunning || p.service(ps.service).mostlyIdle()) && ps.waited(p.now) >= maxWaitBesideGangs
 	ps.backfills = !ps.waitedLong && e.mayOnlyBackfill(p.now, ps, p.roomDemand)
 	runsBefore := a.runs
 	// Capacity is reserved for a gang before any of its tasks fits, and runs may
--- a/internal/state/sched/longtasks_test.go
+++ b/internal/state/sched/longtasks_test.go
@@ -4,6 +4,11 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/tamaracklink/tamaracklink/internal/state/flow"
+	"github.com/tamaracklink/tamaracklink/internal/state/work"
 )
 
 // TestLateGangKeepsNoRoomForPreemption guards against steps that wait on an idle
@@ -61,6 +66,37 @@
 	s.checkStarts(3*time.Second, "gang")
 }
 
+// TestLastingTaskRestartsBesideWaitingGang guards against a task that lasts and is
+// not started again, on a service that is more than half in use, while a gang that
+// does not fit yet keeps what is free.
+func TestLastingTaskRestartsBesideWaitingGang(t *testing.T) {
+	for _, customers := range []bool{false, true} {
+		t.Run(fmt.Sprintf("customers=%v", customers), func(t *testing.T) {
+			s := newServicesSim(t, 10, 60_000, "a")
+			if customers {
+				s.customersOn(work.Size{})
+			}
+			lasting := taskStep(4, 1000, 500)
+			lasting.LongRunning = true
+			s.submitTo("a", "lasting", lasting)
+			batch := taskStep(20, 10000, longMs)
+			batch.MaxPerWorker = 2
+			s.submitTo("a", "batch", batch)
+			s.run(500 * time.Millisecond)
+			s.submitTo("a", "gang", gangStep(10, 15000, 1000))
+			s.run(3 * time.Second)
+			task := TaskID{Job: "lasting"}
+			w, r := s.findMember(task, 1)
+			w.finishRun(r, EndFailed)
+			s.run(maxIdleTime)
+			if w, _ := s.findMember(task, 2); w == nil {
+				t.Errorf("task %v has not been started again after %v: %+v", task, maxIdleTime, s.engine.Stats(s.now).Waiting["a"])
+			}
+			is.New(t).Equal(s.violations, nil)
+		})
+	}
+}
+
 // TestStepAdoptedWhileRunningPassesGang guards against steps whose tasks all ran when
 // the leader's term began: since it was not known how long they have waited, they
 // waited for as long as a gang beside them.
@@ -81,3 +117,10 @@
 		t.Errorf("task %v has not been started again after %v: %+v", task, maxIdleTime, s.engine.Stats(s.now).Waiting["a"])
 	}
 }
+
+// customersOn gives the simulation a customer, "c", with a quota.
+func (s *sim) customersOn(quota work.Size) {
+	s.config.CustomersOn = true
+	s.config.Customers = []flow.Customer{{Name: "c", Weight: 1, MaxRunning: quota}}
+	s.engine.SetConfig(s.config)
+}
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -139,8 +139,8 @@
 	suspect   bool // the tasks have crash scores
 	cut       bool // idleTasks lacks those that the customer's quota does not allow
 	backfills bool // it may use only what waiting gangs can't
-	// waitedLong means that it has waited for maxWaitBesideIdle and most of its
-	// service's processors are idle.
+	// waitedLong means that it has waited for maxWaitBesideGangs, and that its tasks
+	// are long-running or most of its service's processors are idle.
 	waitedLong bool
 }
 
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -66,8 +66,8 @@
 // than this one: what they wait for is of less use. Those beyond their customer's
 // weight keep nothing from steps within theirs. A partial reservation may last
 // as long as a task runs, and any other as long as the stop or the ticket that it
-// waits for does not come, so from then on neither keeps idle workers from a step
-// that has waited long.
+// waits for does not come, so from then on neither keeps room from a step that has
+// waited long.
 func (e *Engine) reservedForOthers(now time.Time, w *worker, ps pendingStep) work.Size {
 	var sum work.Size
 	if len(w.reservations) == 0 {
