state/sched: a gang gets its room beside short tasks once long ones have ended

What callers would see: a gang on an idle service that never starts while short jobs keep coming.

Cause: a task that has waited long passes a gang's partial reservation at any time, so in a stream of them there is one on some worker at each moment.

Change: while a gang would fit once all runs younger than 10 s have ended, its partial reservation holds against steps that have waited long, too, for 0.8 s, at most once in 10 s. These then wait at most 1.5 + 0.8 s and their query.

Test, failed first: TestGangStartsBesideShortTasksOnceLongOnesEnd (gang not started 2 s after the long task's end).

--- a/internal/state/sched/longtasks_test.go
+++ b/internal/state/sched/longtasks_test.go
@@ -66,6 +66,37 @@
 	s.checkStarts(3*time.Second, "gang")
 }
 
+// TestGangStartsBesideShortTasksOnceLongOnesEnd guards against a gang that never
+// starts on an idle service, because each task of a stream of short ones has waited
+// long and passes the gang's reservation.
+func TestGangStartsBesideShortTasksOnceLongOnesEnd(t *testing.T) {
+	const longTime = 12 * time.Second
+	for _, tasks := range []int{12, 16} {
+		t.Run(fmt.Sprintf("tasks=%d", tasks), func(t *testing.T) {
+			s := newServicesSim(t, 8, 60_000, "a")
+			s.stepWork["long"] = jobWork{steps: []time.Duration{longTime}}
+			s.submitTo("a", "long", on("a-00", taskStep(2, 15000, longTime.Milliseconds())))
+			for i := range (16 - tasks) / 2 {
+				s.submitTo("a", fmt.Sprintf("longer%d", i), on(fmt.Sprintf("a-%02d", i+1), taskStep(2, 15000, longMs)))
+			}
+			s.run(500 * time.Millisecond)
+			s.submitTo("a", "gang", gangStep(tasks, 15000, 1000))
+			n := 0
+			s.repeatEvery(100*time.Millisecond, func() {
+				s.submitTo("a", fmt.Sprintf("f%d", n), taskStep(2, 2800, 500))
+				n++
+			})
+			s.run(10 * time.Second) // the long tasks still run
+			for i := range n - 30 {
+				if id := (TaskID{Job: fmt.Sprintf("f%d", i)}); !s.started[id] {
+					t.Errorf("task %v has waited for over %v beside the gang", id, maxIdleTime)
+				}
+			}
+			s.checkStarts(longTime+2*time.Second-10*time.Second, "gang")
+		})
+	}
+}
+
 // TestLastingTaskRestartsBesideWaitingGang guards against a task that lasts and is
 // not started again, on a service that is more than half in use, while a gang that
 // does not fit yet keeps what is free.
--- a/internal/state/sched/reservation.go
+++ b/internal/state/sched/reservation.go
@@ -14,9 +14,9 @@
 	// reservationTime is how long a reservation lasts unless it is renewed. It
 	// covers the stop of a run and a query for tickets.
 	reservationTime = 800 * time.Millisecond
-	// firmReservationTime is for how long a step keeps capacity from steps that have
-	// waited long. It covers two stops and two queries; what the step still lacks
-	// then may never come.
+	// firmReservationTime is for how long a step that has reserved all that it needs
+	// keeps it from steps that have waited long. It covers two stops and two queries;
+	// what the step still lacks then may never come.
 	firmReservationTime = 2 * time.Second
 	// preemptionInterval is the shortest time between two preemptions for one
 	// step.
@@ -37,10 +37,8 @@
 	lateness int    // of the step when it was made
 	beyond   bool   // of the step
 	size     work.Size
-	partial  bool // of a gang that does not fit yet
-	// firmSince is since when the step has reserved all that it needs, or when a run
-	// was last preempted for it.
-	firmSince time.Time
+	// firmUntil is until when it keeps capacity also from steps that have waited long.
+	firmUntil time.Time
 	expires   time.Time
 }
 
@@ -66,8 +64,8 @@
 // than this one: what they wait for is of less use. Those beyond their customer's
 // weight keep nothing from steps within theirs. A partial reservation may last
 // as long as a task runs, and any other as long as the stop or the ticket that it
-// waits for does not come, so from then on neither keeps room from a step that has
-// waited long.
+// waits for does not come, so steps that have waited long pass both while they are
+// not firm.
 func (e *Engine) reservedForOthers(now time.Time, w *worker, ps pendingStep) work.Size {
 	var sum work.Size
 	if len(w.reservations) == 0 {
@@ -80,7 +78,7 @@
 			continue
 		}
 		unexpired = append(unexpired, res)
-		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && (ps.beyond || !res.beyond) && !(ps.waitedLong && res.mayLast(now)) {
+		if res.step != id && res.priority <= ps.priority && res.lateness <= ps.lateness && (ps.beyond || !res.beyond) && !(ps.waitedLong && !now.Before(res.firmUntil)) {
 			sum = sum.Add(res.size)
 		}
 	}
@@ -88,12 +86,6 @@
 	return sum
 }
 
-// mayLast reports whether what the reservation waits for may take long to come, or
-// never come.
-func (res *reservation) mayLast(now time.Time) bool {
-	return res.partial || now.Sub(res.firmSince) >= firmReservationTime
-}
-
 // releaseReservations removes all reservations of a step.
 func (e *Engine) releaseReservations(ps pendingStep) {
 	id := ps.stepID()
@@ -175,7 +167,7 @@
 		}
 		if n > c.fit && mayPreempt {
 			if e.preempt(p.now, ps, c, taskSize(st).Times(int64(n))) {
-				sp.firmSince = p.now
+				sp.firmUntil = p.now.Add(firmReservationTime)
 			}
 			preempted = true
 		}
@@ -194,14 +186,20 @@
 // without the workers that the placement service has rejected. Capacity kept for a
 // gang that does not fit even then would stay unused.
 func (e *Engine) fitsOnceTasksEnd(now time.Time, ps pendingStep, st *flow.Step, need int) bool {
-	service, perWorker := e.policy(ps.job).Service, need
+	return e.fitsWithin(now, ps, st, need, (*worker).attainable)
+}
+
+// fitsWithin reports whether need tasks of the step would fit into the given room
+// on the usable workers of its service that the placement service has not rejected.
+func (e *Engine) fitsWithin(now time.Time, ps pendingStep, st *flow.Step, need int, room func(w *worker) work.Size) bool {
+	perWorker := need
 	if st.MaxPerWorker > 0 {
 		perWorker = min(perWorker, st.MaxPerWorker)
 	}
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
 	for _, w := range e.workersByID {
-		if w.usable(now) && !sp.rejected[w.ID] && w.Service == service && (st.Label == "" || w.hasLabel(st.Label)) {
-			need -= fitCount(w.attainable(), taskSize(st), perWorker)
+		if w.usable(now) && !sp.rejected[w.ID] && w.Service == ps.service && (st.Label == "" || w.hasLabel(st.Label)) {
+			need -= fitCount(room(w), taskSize(st), perWorker)
 		}
 		if need <= 0 {
 			return true
@@ -215,6 +213,7 @@
 // lack the least CPU for it and can take it once tasks there end, so that other
 // steps don't take what becomes free there.
 func (e *Engine) reservePartially(p *schedulingPass, ps pendingStep, st *flow.Step, candidates []*candidate, need int) {
+	e.makePartialReservationFirm(p, ps, st, need)
 	size := taskSize(st)
 	byFree := append([]*candidate(nil), candidates...)
 	sort.SliceStable(byFree, func(i, k int) bool {
@@ -287,11 +286,11 @@
 func (e *Engine) reserve(p *schedulingPass, ps pendingStep, c *candidate, size work.Size, partial bool) {
 	id := ps.stepID()
 	sp := ps.job.stepPlacement(ps.round.Number, ps.step)
-	if partial || !p.now.Before(sp.reservedUntil) {
-		sp.firmSince = p.now
+	if !partial && (sp.reservedPartially || !p.now.Before(sp.reservedUntil)) {
+		sp.firmUntil = p.now.Add(firmReservationTime)
 	}
-	sp.reservedUntil = p.now.Add(reservationTime)
-	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, size: size, partial: partial, firmSince: sp.firmSince, expires: sp.reservedUntil}
+	sp.reservedPartially, sp.reservedUntil = partial, p.now.Add(reservationTime)
+	res := reservation{step: id, priority: ps.priority, lateness: ps.lateness, beyond: ps.beyond, size: size, firmUntil: sp.firmUntil, expires: sp.reservedUntil}
 	for i := range c.worker.reservations {
 		if old := &c.worker.reservations[i]; old.step == id {
 			res.priority, res.lateness, res.beyond = old.priority, old.lateness, old.beyond
--- a/internal/state/sched/tickets.go
+++ b/internal/state/sched/tickets.go
@@ -66,22 +66,24 @@
 
 // stepPlacement is the state of the placement of one step of a round.
 type stepPlacement struct {
-	tickets        map[string]ticket         // by ID of the worker, expired ones included
-	rejected       map[string]bool           // IDs of workers that may not run the step
-	queriedBy      map[*placementClient]bool // clients with a query about the step in flight, one each
-	queriedAt      time.Time                 // when the newest queries were sent
-	purpose        QueryPurpose              // of the newest queries
-	lackedRoomAt   time.Time                 // when a pass last found no room for the step, a gang that may get some
-	nextQuery      time.Time                 // earliest time of the next query
-	nextSearch     time.Time                 // earliest time of the next search for workers to query
-	nextEvaluation time.Time                 // earliest time of the next evaluation, see reevaluationPause
-	softReservedOn []*worker                 // workers with a soft reservation for the step
-	reservedOn     []*worker                 // workers with a reservation for the step
-	reservedUntil  time.Time                 // when these expire
-	firmSince      time.Time                 // see reservation
-	nextPreemption time.Time                 // earliest time of the next preemption for the step
-	lastFailure    time.Time                 // when the end of a failed run of the step was last reported
-	runTimes       []runTime                 // of first runs that ended as done
+	tickets           map[string]ticket         // by ID of the worker, expired ones included
+	rejected          map[string]bool           // IDs of workers that may not run the step
+	queriedBy         map[*placementClient]bool // clients with a query about the step in flight, one each
+	queriedAt         time.Time                 // when the newest queries were sent
+	purpose           QueryPurpose              // of the newest queries
+	lackedRoomAt      time.Time                 // when a pass last found no room for the step, a gang that may get some
+	nextQuery         time.Time                 // earliest time of the next query
+	nextSearch        time.Time                 // earliest time of the next search for workers to query
+	nextEvaluation    time.Time                 // earliest time of the next evaluation, see reevaluationPause
+	softReservedOn    []*worker                 // workers with a soft reservation for the step
+	reservedOn        []*worker                 // workers with a reservation for the step
+	reservedUntil     time.Time                 // when these expire
+	reservedPartially bool                      // the step is a gang, and they were too few for it
+	firmUntil         time.Time                 // until when they keep capacity also from steps that have waited long
+	nextFirm          time.Time                 // earliest time of the next check whether a partial reservation may be firm
+	nextPreemption    time.Time                 // earliest time of the next preemption for the step
+	lastFailure       time.Time                 // when the end of a failed run of the step was last reported
+	runTimes          []runTime                 // of first runs that ended as done
 }
 
 // ticket permits a step to run on one worker.
