state/sched: a gang keeps no quota from steps that have waited long beside long runs

What callers would see: ordinary jobs of a customer that stay queued on an idle service, while one long task of the customer runs and a gang of it waits.

Cause: a waiting gang holds the part of its customer's quota that it needs from later steps, and its reservation claims it from their queries. Both last as long as what the gang waits for, and the exception for steps that have waited long knew neither.

Ruled out: leaving both out for such steps at any time.

Change: a step that has waited long leaves nothing to claims by reservations that are not firm, and nothing to the held quota if the gang does not fit into the quota beside the customer's runs of 10 s and more. Long-running tasks that have waited long leave nothing to it.

All tests of the package pass.

--- a/internal/state/sched/customers.go
+++ b/internal/state/sched/customers.go
@@ -23,10 +23,14 @@
 	// The following are those of one scheduling pass.
 
 	// claimed is what steps could not place yet and have reserved or queried for.
-	claimed work.Size
+	// claimedNotFirm is the part by reservations that are not firm.
+	claimed, claimedNotFirm work.Size
 	// held is kept within the quota for a waiting gang. Steps that come after it
 	// would otherwise use what each run leaves, which is never enough for a gang.
 	held work.Size
+	// heldFirm is whether held keeps the quota also from steps that have waited
+	// long; nil if that is not known yet.
+	heldFirm *bool
 }
 
 // customerActivity counts decisions on the jobs of a customer in this term.
@@ -168,7 +172,8 @@
 // starts. It does nothing if that can't lead to a start, a reservation or a query.
 func (e *Engine) evaluateStep(p *schedulingPass, ps pendingStep) {
 	a, st := ps.job.account, &ps.job.Steps[ps.step]
-	n := e.quotaFit(p.now, ps, len(ps.idleTasks), a.held)
+	ps.waitedLong = (st.LongRunning || p.service(ps.service).mostlyIdle()) && ps.waited(p.now) >= maxWaitBesideGangs
+	n := e.quotaFit(p.now, ps, len(ps.idleTasks), e.heldQuota(p.now, ps))
 	if n == 0 {
 		e.releaseAll(ps)
 		e.holdQuota(p, ps, len(ps.idleTasks))
@@ -184,7 +189,6 @@
 	if ps.beyond && (sp == nil || len(sp.tickets) == 0) && p.needsLongQuery && e.needsLongQueries(ps) {
 		return
 	}
-	ps.waitedLong = (st.LongRunning || p.service(ps.service).mostlyIdle()) && ps.waited(p.now) >= maxWaitBesideGangs
 	ps.backfills = !ps.waitedLong && e.mayOnlyBackfill(p.now, ps, p.roomDemand)
 	runsBefore := a.runs
 	// Capacity is reserved for a gang before any of its tasks fits, and runs may
@@ -204,15 +208,42 @@
 		return
 	}
 	if expectsRoom {
-		a.claimed = a.claimed.Add(st.Size.Times(int64(e.claimable(p, ps, n))))
+		claim := st.Size.Times(int64(e.claimable(p, ps, n)))
+		a.claimed = a.claimed.Add(claim)
+		if sp := ps.job.placements[ps.round.Number][ps.step]; p.now.Before(sp.reservedUntil) && !p.now.Before(sp.firmUntil) {
+			a.claimedNotFirm = a.claimedNotFirm.Add(claim)
+		}
 	}
 }
 
 // claimable returns how many of n tasks of a step that could not be placed may
 // have capacity reserved, runs preempted and tickets queried for: those that the
-// quota allows beside what earlier steps of the pass wait for.
+// quota allows beside what earlier steps of the pass wait for. A step that has
+// waited long leaves nothing to claims by reservations that are not firm.
 func (e *Engine) claimable(p *schedulingPass, ps pendingStep, n int) int {
-	return e.quotaFit(p.now, ps, n, ps.job.account.claimed.Add(ps.job.account.held))
+	claimed := ps.job.account.claimed
+	if ps.waitedLong {
+		claimed = claimed.Sub(ps.job.account.claimedNotFirm)
+	}
+	return e.quotaFit(p.now, ps, n, claimed.Add(e.heldQuota(p.now, ps)))
+}
+
+// heldQuota returns what the step has to leave of its customer's quota to a gang.
+// A step that has waited long leaves nothing if the gang waits for long runs, or if
+// its own tasks are long-running.
+func (e *Engine) heldQuota(now time.Time, ps pendingStep) work.Size {
+	a := ps.job.account
+	if !ps.waitedLong || a.held == (work.Size{}) {
+		return a.held
+	}
+	if a.heldFirm == nil {
+		firm := share.Fit(e.usedByLongRuns(now, a), a.held, e.quota(ps.job), 1) == 1
+		a.heldFirm = &firm
+	}
+	if *a.heldFirm && !ps.job.Steps[ps.step].LongRunning {
+		return a.held
+	}
+	return work.Size{}
 }
 
 // holdQuota keeps a part of the customer's quota for a waiting gang, one at a time,
--- a/internal/state/sched/longruns.go
+++ b/internal/state/sched/longruns.go
@@ -40,6 +40,19 @@
 	return free
 }
 
+// usedByLongRuns returns the declared sizes of a customer's long runs.
+func (e *Engine) usedByLongRuns(now time.Time, a *account) work.Size {
+	var used work.Size
+	for _, w := range e.workersByID {
+		for _, r := range w.runs {
+			if r.job.account == a && r.isLong(now) {
+				used = used.Add(r.job.Steps[r.id.Step].Size)
+			}
+		}
+	}
+	return used
+}
+
 // makePartialReservationFirm lets the partial reservation of a gang hold against
 // steps that have waited long for reservationTime, if it has not for firmInterval
 // and the gang would fit once all runs but the long ones have ended.
--- a/internal/state/sched/longtasks_test.go
+++ b/internal/state/sched/longtasks_test.go
@@ -149,6 +149,71 @@
 	}
 }
 
+// TestGangKeepsNoQuotaFromStepsThatWaitedLong guards against steps that wait on an
+// idle service, because a gang of the same customer holds what the customer's quota
+// leaves, or claims it by a reservation, while a long task runs.
+func TestGangKeepsNoQuotaFromStepsThatWaitedLong(t *testing.T) {
+	tests := []struct {
+		name    string
+		stretch float64 // of the objective; without one the quota is claimed, but not held
+		gang    int     // tasks
+		quota   int64   // in thousandths of a core
+		tickets bool
+	}{
+		{"held", 1, 6, 100_000, false},
+		{"held, with tickets", 1, 6, 100_000, true},
+		{"claimed", 0, 16, 281_000, false},
+		{"claimed, with tickets", 0, 16, 281_000, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServicesSim(t, 8, 0, "a")
+			s.config.Queues[0].Policy.Stretch = tt.stretch
+			if tt.tickets {
+				s.config.Queues[0].Policy.PlacementService.CallMs = 5
+				s.config.Queues[0].Policy.PlacementService.PerWorkerMs = 0.1
+				s.config.Queues[0].Policy.PlacementService.TicketValidMs = 1500
+			}
+			s.customersOn(work.Size{CPU: tt.quota})
+			submit := func(id string, n int, cpu int64, gang bool, label string) {
+				st := taskStep(n, cpu, longMs)
+				st.Gang, st.Label = gang, label
+				spec := newJobSpec(id, "a", st)
+				spec.Customer, spec.Policy = "c", s.config.Queue("a").Policy
+				s.submit(spec)
+			}
+			submit("long", 2, 15000, false, "a-00")
+			s.run(500 * time.Millisecond)
+			submit("gang", tt.gang, 15000, true, "")
+			s.run(longRunAge)
+			submit("job", 1, 12000, false, "")
+			s.checkStarts(maxIdleTime, "job")
+		})
+	}
+}
+
+// TestGangGetsItsQuotaBesideBacklog guards against a gang that never gets its
+// customer's quota, because the steps of a backlog, which have all waited long, use
+// what each run leaves.
+func TestGangGetsItsQuotaBesideBacklog(t *testing.T) {
+	s := newServicesSim(t, 8, 60_000, "a")
+	s.customersOn(work.Size{CPU: 32000})
+	n := 0
+	submit := func(id string, st flow.Step) {
+		spec := newJobSpec(id, "a", st)
+		spec.Customer, spec.Policy = "c", s.config.Queue("a").Policy
+		s.submit(spec)
+	}
+	s.repeatEvery(200*time.Millisecond, func() {
+		submit(fmt.Sprintf("f%d", n), taskStep(4, 4000, 700))
+		n++
+	})
+	s.run(3 * time.Second)
+	submit("gang", gangStep(4, 7000, 500))
+	// The jobs before it need the quota for less than 15 * 4 * 4 * 0.7 / 32 s.
+	s.checkStarts(7*time.Second, "gang")
+}
+
 // customersOn gives the simulation a customer, "c", with a quota.
 func (s *sim) customersOn(quota work.Size) {
 	s.config.CustomersOn = true
--- a/internal/state/sched/place.go
+++ b/internal/state/sched/place.go
@@ -62,7 +62,7 @@
 	}
 	p.needsLongQuery = e.customersOn() && e.findQueryDemand(now, pending)
 	for _, a := range e.accounts {
-		a.claimed, a.held = work.Size{}, work.Size{}
+		a.claimed, a.claimedNotFirm, a.held, a.heldFirm = work.Size{}, work.Size{}, work.Size{}, nil
 	}
 	p.services = e.findServices(now)
 	p.roomDemand = e.findRoomDemand(now, pending)
