state/sched: random jobs on two services beside tasks that outlast the test

Change: TestTasksOfTwoServicesAreNotLeftIdle draws two services that are used unlike, tasks of 100 s, gangs up to the width of a service, and customers or none. The check goes by service, and for long-running tasks holds however full it is.

--- a/internal/state/sched/lost_test.go
+++ b/internal/state/sched/lost_test.go
@@ -17,6 +17,9 @@
 const (
 	settleTime  = 14 * time.Second // after the last fault, until the rule holds
 	maxIdleTime = 3 * time.Second  // of a task for which there is room
+	// lastingGrace is the time after its last run from which the rule holds for a
+	// task that lasts, however full its service is.
+	lastingGrace = 6 * time.Second
 )
 
 // TestStartableTasksAreNotLeftIdle guards against tasks that wait although most
@@ -49,23 +52,77 @@
 			}
 			s.run(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "pause")) * time.Millisecond)
 		}
-		s.run(max(quietAt.Sub(s.now), 0) + settleTime)
-		idleSince := map[TaskID]time.Time{}
-		for range 32 {
-			if s.allJobsEnded() {
-				break
-			}
-			s.run(250 * time.Millisecond)
-			s.checkIdleTasks(rt, idleSince)
+		s.checkNoTaskIsLeftIdle(rt, quietAt)
+	})
+}
+
+// checkNoTaskIsLeftIdle runs the simulation until the rule holds, and fails the test
+// if a task is left idle then.
+func (s *sim) checkNoTaskIsLeftIdle(rt *rapid.T, quietAt time.Time) {
+	s.run(max(quietAt.Sub(s.now), 0) + settleTime)
+	idleSince := map[TaskID]time.Time{}
+	for range 40 {
+		if s.allJobsEnded() {
+			break
 		}
-		if s.engine != nil {
-			if stats := s.engine.Stats(s.now); stats.Stranded > 0 {
-				rt.Fatalf("the leader has lost track of %d jobs, the oldest is %s", stats.Stranded, stats.StrandedJob)
-			}
+		s.run(250 * time.Millisecond)
+		s.checkIdleTasks(rt, idleSince)
+	}
+	if s.engine != nil {
+		if stats := s.engine.Stats(s.now); stats.Stranded > 0 {
+			rt.Fatalf("the leader has lost track of %d jobs, the oldest is %s", stats.Stranded, stats.StrandedJob)
 		}
-		if len(s.violations) > 0 {
-			rt.Fatalf("invariant violated: %s", s.violations[0])
+	}
+	if len(s.violations) > 0 {
+		rt.Fatalf("invariant violated: %s", s.violations[0])
+	}
+}
+
+// TestTasksOfTwoServicesAreNotLeftIdle guards against the same beside tasks that run
+// longer than the test, on two services that are used unlike, with and without
+// customers.
+func TestTasksOfTwoServicesAreNotLeftIdle(t *testing.T) {
+	check.FixSeed(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newSim(t, uint64(rapid.IntRange(1, 1<<30).Draw(rt, "seed")), rapid.IntRange(4, 12).Draw(rt, "workers"))
+		for i := range rapid.IntRange(4, 12).Draw(rt, "workers of the other service") {
+			s.addWorker(fmt.Sprintf("x%02d", i), "r2").info.Service = "other"
 		}
+		s.timedQueries, s.placementClients, s.taskFailureRate = true, 6, 0.02
+		s.setBusyQueues()
+		for _, q := range s.config.Queues[:len(s.config.Queues):len(s.config.Queues)] {
+			s.allowedShares["other-"+q.Name] = s.allowedShares[q.Name]
+			q.Name, q.Policy.Service = "other-"+q.Name, "other"
+			s.config.Queues = append(s.config.Queues, q)
+		}
+		if s.config.CustomersOn = rapid.Bool().Draw(rt, "customers"); s.config.CustomersOn {
+			s.config.Customers = []flow.Customer{{Name: "c0", Weight: 1}, {Name: "c1", Weight: 3}}
+		}
+		s.startLeader()
+		s.run(time.Second)
+		otherShare := rapid.IntRange(0, 10).Draw(rt, "tenths of the jobs to the other service")
+		n := 0
+		for range rapid.IntRange(1, 8).Draw(rt, "rounds") {
+			for range rapid.IntRange(0, 8).Draw(rt, "jobs") {
+				spec := drawBusyJob(rt, s.now, fmt.Sprintf("j%d", n))
+				n++
+				if rapid.IntRange(0, 5).Draw(rt, "wide") == 0 {
+					spec = newJobSpec(spec.ID, "free", gangStep(rapid.IntRange(4, 24).Draw(rt, "tasks"), 15000, 1000))
+				}
+				spec.Customer = rapid.SampledFrom([]string{"c0", "c1"}).Draw(rt, "customer")
+				if rapid.IntRange(1, 10).Draw(rt, "service") <= otherShare {
+					spec.Queue = "other-" + spec.Queue
+				}
+				for i := range spec.Steps {
+					if rapid.IntRange(0, 3).Draw(rt, "long") == 0 {
+						spec.Steps[i].EstimateMs = longMs
+					}
+				}
+				s.submit(spec)
+			}
+			s.run(time.Duration(rapid.IntRange(50, 3000).Draw(rt, "pause")) * time.Millisecond)
+		}
+		s.checkNoTaskIsLeftIdle(rt, s.now)
 	})
 }
 
@@ -122,21 +179,27 @@
 // it could run. idleSince holds since when the tasks of the last check are.
 func (s *sim) checkIdleTasks(rt *rapid.T, idleSince map[TaskID]time.Time) {
 	idle := map[TaskID]bool{}
-	var used, capacity int64
+	services := map[string]*serviceUse{}
 	running := map[TaskID]bool{}
 	for _, name := range s.workerNames {
 		w := s.workers[name]
 		if !w.up {
 			continue
 		}
-		used, capacity = used+w.used().CPU, capacity+w.info.Capacity.CPU
+		u := services[w.info.Service]
+		if u == nil {
+			u = &serviceUse{}
+			services[w.info.Service] = u
+		}
+		u.usedCPU, u.cpu = u.usedCPU+w.used().CPU, u.cpu+w.info.Capacity.CPU
 		for id := range w.runs {
 			running[id] = true
 		}
 	}
-	if 2*used < capacity {
-		for _, id := range s.jobIDs {
-			for _, task := range s.startableTasks(id, running) {
+	for _, id := range s.jobIDs {
+		u := services[s.config.Queue(s.jobs[id].spec.Queue).Policy.Service]
+		for _, task := range s.startableTasks(id, running) {
+			if s.jobs[id].spec.Steps[task.Step].LongRunning || u != nil && u.mostlyIdle() {
 				idle[task] = true
 			}
 		}
@@ -152,8 +215,12 @@
 			idleSince[task] = s.now
 			continue
 		}
-		if s.now.Sub(since) >= maxIdleTime {
-			rt.Fatalf("LOST: %v could run and has been idle for %v, with %d of %d of the processors in use; %s", task, s.now.Sub(since), used, capacity, s.describeWaiting(task))
+		limit, service := maxIdleTime, s.config.Queue(s.jobs[task.Job].spec.Queue).Policy.Service
+		if s.jobs[task.Job].spec.Steps[task.Step].LongRunning {
+			limit += lastingGrace
+		}
+		if s.now.Sub(since) >= limit {
+			rt.Fatalf("LOST: %v could run and has been idle for %v, with service %s %+v; %s", task, s.now.Sub(since), service, services[service], s.describeWaiting(task))
 		}
 	}
 }
@@ -207,10 +274,10 @@
 // roomFor returns how many tasks of a step fit into the free capacity of the
 // workers that may run it.
 func (s *sim) roomFor(spec *flow.Spec, round, step int, running map[TaskID]bool) int {
-	st, fit := &spec.Steps[step], 0
+	st, fit, service := &spec.Steps[step], 0, s.config.Queue(spec.Queue).Policy.Service
 	for _, name := range s.workerNames {
 		w := s.workers[name]
-		if !w.reachable() || w.info.Draining || !s.allows(spec, name) {
+		if !w.reachable() || w.info.Draining || w.info.Service != service || !s.allows(spec, name) {
 			continue
 		}
 		most := 2 * st.Count
