core, state/sched: figures of the use of each service

Change: `cpu-used-in` in "leader: state" and the gauge `service_cpu_used` give the used share of the usable workers' CPU by service.

Test: TestStatsTellServicesApart (new figure; before, it did not compile).

--- a/internal/coordination/core/stats.go
+++ b/internal/coordination/core/stats.go
@@ -71,6 +71,11 @@
 	} {
 		c.settings.Meter.Gauge(name, v)
 	}
+	usedIn := zerolog.Dict()
+	for service, used := range s.UsedByService {
+		c.settings.Meter.Gauge("service_cpu_used", used, "service", service)
+		usedIn.Float64(service, roundShare(used))
+	}
 	waitingIn := map[string]int{}
 	waitingBefore := c.waitingQueues
 	c.waitingQueues = nil
@@ -80,7 +85,7 @@
 	}
 	c.settings.Logger.Info().Int("jobs", s.Jobs).Int("live", s.LiveJobs).Int("waiting", s.PendingSteps).Int("waiting-late", s.LatePendingSteps).Int("stranded", s.Stranded).Str("stranded-job", s.StrandedJob).Interface("waiting-in", waitingIn).
 		Int("runs", s.Runs).Int("stopping", s.Stopping).Int("unsure", s.UnansweredStarts).Int("crashed", s.CrashedRuns).Int("workers", s.Workers).Int("usable", s.Usable).
-		Float64("cpu-used", roundShare(s.CPU.Used)).Float64("cpu-unconfirmed", roundShare(s.CPU.Unconfirmed)).Float64("cpu-stopping", roundShare(s.CPU.Stopping)).
+		Float64("cpu-used", roundShare(s.CPU.Used)).Dict("cpu-used-in", usedIn).Float64("cpu-unconfirmed", roundShare(s.CPU.Unconfirmed)).Float64("cpu-stopping", roundShare(s.CPU.Stopping)).
 		Float64("cpu-reserved", roundShare(s.CPU.Reserved)).Float64("cpu-reserved-idle", roundShare(s.CPU.ReservedIdle)).Int("reserving", s.ReservingSteps).
 		Int("asking", s.QueriesInFlight).Int("clients", s.Clients).Float64("busy-quick", roundShare(busyQuick)).Float64("busy-long", roundShare(busyLong)).
 		Int("passes", passes.count).Int64("pass-max-ms", passes.longest.Milliseconds()).Int64("delay-max-ms", passes.maxDelay.Milliseconds()).
--- a/internal/state/sched/services_test.go
+++ b/internal/state/sched/services_test.go
@@ -182,3 +182,12 @@
 	is.Equal(waiting["a"].ByReason[WaitNoRoom], 1) // the gang
 	is.Equal(waiting["a-batch"].ByReason[WaitNoRoom]+waiting["a-batch"].ByReason[WaitReserved], 1)
 }
+
+// TestStatsTellServicesApart guards against figures that hide a full service behind
+// an idle one.
+func TestStatsTellServicesApart(t *testing.T) {
+	s := newServicesSim(t, 4, 3000, "a", "b")
+	s.submitTo("b", "job", taskStep(4, 32000, longMs))
+	s.run(500 * time.Millisecond)
+	is.New(t).Equal(s.engine.Stats(s.now).UsedByService, map[string]float64{"a": 0, "b": 1})
+}
--- a/internal/state/sched/stats.go
+++ b/internal/state/sched/stats.go
@@ -28,14 +28,15 @@
 	Workers          int // listed workers
 	Usable           int // workers on which tasks may start
 	CPU              CPUShares
-	ReservingSteps   int          // steps with unexpired reservations
-	QueriesInFlight  int          // queries to the placement service that are not answered yet
-	Clients          int          // healthy placement clients
-	LongQueryClients int          // those of them that get long queries
-	UnansweredStarts int          // runs whose start was not answered
-	Pairs            []pairs.Pair // the pairs of images with the largest known interference
-	PairsKnown       int          // pairs of images of which observations are held
-	CrashedRuns      int          // runs of this term under which a worker has certainly crashed
+	UsedByService    map[string]float64 // share of the usable workers' CPU that runs use, by service
+	ReservingSteps   int                // steps with unexpired reservations
+	QueriesInFlight  int                // queries to the placement service that are not answered yet
+	Clients          int                // healthy placement clients
+	LongQueryClients int                // those of them that get long queries
+	UnansweredStarts int                // runs whose start was not answered
+	Pairs            []pairs.Pair       // the pairs of images with the largest known interference
+	PairsKnown       int                // pairs of images of which observations are held
+	CrashedRuns      int                // runs of this term under which a worker has certainly crashed
 }
 
 // CPUShares are shares of the usable workers' CPU.
@@ -81,6 +82,10 @@
 		}
 	}
 	s.CPU, s.ReservingSteps = sums.shares(), len(reserving)
+	s.UsedByService = map[string]float64{}
+	for name, u := range e.findServices(now) {
+		s.UsedByService[name] = share.Fraction(u.usedCPU, u.cpu)
+	}
 	for _, c := range e.clients {
 		s.QueriesInFlight += len(c.inFlight)
 		if c.healthy {
